Lay down the shape: core types, messages, the blackboard and the platform's interface

Cause: everything later stands on the folders, the core types and the board, so they come first. Ruled out: one public header for all controllers (it would grow past reading); each library has its own. Before: nothing. Conclusion: controllers and transports can be built against these headers side by side.

--- /dev/null
+++ b/src/board/Board.cpp
@@ -0,0 +1,93 @@
+#include "board/Board.h"
+
+#include <atomic>
+
+namespace Vanillaridge {
+
+void Outbox::post(Endpoint to, ControlMessage message)
+{
+    {
+        std::lock_guard guard(m_lock);
+        m_messages.push_back({ std::move(to), std::move(message) });
+    }
+    if (m_listener)
+        m_listener();
+}
+
+std::vector<OutgoingMessage> Outbox::drain()
+{
+    std::lock_guard guard(m_lock);
+    return std::exchange(m_messages, {});
+}
+
+void Outbox::onPost(Listener listener) { m_listener = std::move(listener); }
+
+ConfigurationPointer ConfigurationFacts::inForce() const
+{
+    std::lock_guard guard(m_lock);
+    return m_inForce;
+}
+
+bool ConfigurationFacts::adopt(ConfigurationPointer next)
+{
+    std::lock_guard guard(m_lock);
+    if (m_inForce && m_inForce->number() >= next->number())
+        return false;
+    m_inForce = std::move(next);
+    return true;
+}
+
+FreshnessRecord ConfigurationFacts::freshness() const
+{
+    std::lock_guard guard(m_lock);
+    return m_freshness;
+}
+
+struct Board::Facts {
+    explicit Facts(Identity identity)
+        : self(std::move(identity))
+    {
+    }
+
+    const Identity self;
+    Sharded<NodeId, MemberRecord> members;
+    Sharded<ServiceName, ServerGroup> servers;
+    Sharded<ServiceName, LocalServerRecord> localServers;
+    Sharded<RequestId, EntryRecord> entries;
+    Sharded<AttemptId, AttemptRecord> attempts;
+    ConfigurationFacts configuration;
+    Outbox outbox;
+    Counters counters;
+    std::atomic<bool> draining { false };
+};
+
+Board::Board(Identity identity)
+    : m_facts(std::make_unique<Facts>(std::move(identity)))
+{
+}
+
+Board::~Board() = default;
+
+const Identity& Board::self() const { return m_facts->self; }
+
+Sharded<NodeId, MemberRecord>& Board::members() { return m_facts->members; }
+
+Sharded<ServiceName, ServerGroup>& Board::servers() { return m_facts->servers; }
+
+Sharded<ServiceName, LocalServerRecord>& Board::localServers() { return m_facts->localServers; }
+
+Sharded<RequestId, EntryRecord>& Board::entries() { return m_facts->entries; }
+
+Sharded<AttemptId, AttemptRecord>& Board::attempts() { return m_facts->attempts; }
+
+ConfigurationFacts& Board::configuration() { return m_facts->configuration; }
+
+Outbox& Board::outbox() { return m_facts->outbox; }
+
+Counters& Board::counters() { return m_facts->counters; }
+
+bool Board::draining() const { return m_facts->draining.load(std::memory_order_relaxed); }
+
+void Board::startDraining() { m_facts->draining.store(true, std::memory_order_relaxed); }
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/board/Board.h
@@ -0,0 +1,96 @@
+/// The blackboard: all that a node knows. Controllers read facts from it and write facts to it; they do not call each
+/// other, and the board itself decides nothing.
+///
+/// Each table is in shards, each shard under its own lock. Whatever a controller wants sent it leaves in the outbox,
+/// from where a transport takes it.
+#pragma once
+
+#include "board/Counters.h"
+#include "board/Records.h"
+#include "board/Sharded.h"
+
+namespace Vanillaridge {
+
+/// Who this node is. Fixed for the life of the process.
+struct Identity {
+    Endpoint endpoint;
+    ZoneName zone;
+    BootId boot;
+    Incarnation incarnation;
+    NodeId id() const { return NodeId::of(endpoint); }
+};
+
+/// A control message and where it goes.
+struct OutgoingMessage {
+    Endpoint to;
+    ControlMessage message;
+};
+
+/// Control messages on their way out. Any thread may post; whoever drains is woken by the listener.
+class Outbox {
+public:
+    /// Called after each post, outside any lock. Must not block.
+    using Listener = std::function<void()>;
+
+    void post(Endpoint to, ControlMessage);
+    std::vector<OutgoingMessage> drain();
+    /// To be set before the first post.
+    void onPost(Listener);
+
+private:
+    std::mutex m_lock;
+    std::vector<OutgoingMessage> m_messages;
+    Listener m_listener;
+};
+
+/// The configuration in force and what is known of its freshness.
+class ConfigurationFacts {
+public:
+    /// Nothing until one has been accepted.
+    ConfigurationPointer inForce() const;
+    /// Puts a configuration in force if its number is higher than the present one's; tells whether it did.
+    bool adopt(ConfigurationPointer);
+
+    FreshnessRecord freshness() const;
+    /// Runs `use(FreshnessRecord&)` under the lock.
+    template <typename Use> decltype(auto) updateFreshness(Use&& use)
+    {
+        std::lock_guard guard(m_lock);
+        return use(m_freshness);
+    }
+
+private:
+    mutable std::mutex m_lock;
+    ConfigurationPointer m_inForce;
+    FreshnessRecord m_freshness;
+};
+
+/// All facts of one node.
+class Board {
+public:
+    explicit Board(Identity);
+    ~Board();
+
+    const Identity& self() const;
+
+    Sharded<NodeId, MemberRecord>& members();
+    /// Backend servers by service.
+    Sharded<ServiceName, ServerGroup>& servers();
+    /// Backend servers that announced themselves here, by service.
+    Sharded<ServiceName, LocalServerRecord>& localServers();
+    Sharded<RequestId, EntryRecord>& entries();
+    Sharded<AttemptId, AttemptRecord>& attempts();
+    ConfigurationFacts& configuration();
+    Outbox& outbox();
+    Counters& counters();
+
+    /// Whether this node is leaving: it takes no new requests and gives up its duties.
+    bool draining() const;
+    void startDraining();
+
+private:
+    struct Facts;
+    std::unique_ptr<Facts> m_facts;
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/board/Counters.cpp
@@ -0,0 +1,101 @@
+#include "board/Counters.h"
+
+#include <atomic>
+
+namespace Vanillaridge {
+
+namespace {
+
+    constexpr size_t stripeCount = 16;
+    constexpr size_t slotCount = counterCount + 2 * reasonCount;
+    constexpr size_t firstRefusal = counterCount;
+    constexpr size_t firstRetry = counterCount + reasonCount;
+
+    // One row for each counter, in the order of the enumeration.
+    constexpr std::array<CounterRow, counterCount> counterRows { {
+        { Counter::RequestsReceived, "requests_received", "requests read from callers and backend servers" },
+        { Counter::RequestsServed, "requests_served", "requests answered whole by a backend server" },
+        { Counter::RequestsRefused, "requests_refused", "requests that the system answered itself" },
+        { Counter::RequestsCancelled, "requests_cancelled", "requests cancelled while they ran" },
+        { Counter::RetriesSpent, "retries_spent", "further tries after the first" },
+        { Counter::RetriesWithoutBudget, "retries_without_budget", "tries not made for lack of budget" },
+        { Counter::VerdictsNotStarted, "verdicts_not_started", "verdicts that an attempt had not started" },
+        { Counter::VerdictsStarted, "verdicts_started", "verdicts that an attempt had started" },
+        { Counter::VerdictsUnknown, "verdicts_unknown", "attempts without a verdict" },
+        { Counter::PeerMessagesSent, "peer_messages_sent", "messages sent to other nodes" },
+        { Counter::PeerMessagesReceived, "peer_messages_received", "messages received from other nodes" },
+        { Counter::PeerMessagesMalformed, "peer_messages_malformed",
+            "messages dropped because they could not be read" },
+        { Counter::PeerMessagesForged, "peer_messages_forged", "messages dropped because their MAC was wrong" },
+        { Counter::PeerConnectionsOpened, "peer_connections_opened", "connections opened to other nodes" },
+        { Counter::PeerConnectionsLost, "peer_connections_lost", "connections to other nodes that failed" },
+        { Counter::QuotaPulls, "quota_pulls", "requests for tokens sent to other nodes" },
+        { Counter::QuotaTokensCreated, "quota_tokens_created", "tokens created by quota slots held here" },
+        { Counter::QuotaTokensExpired, "quota_tokens_expired", "tokens that expired unused" },
+        { Counter::QuotaLeasesAcquired, "quota_leases_acquired", "quota slot leases acquired" },
+        { Counter::QuotaLeasesLost, "quota_leases_lost", "quota slot leases that lapsed or were taken" },
+        { Counter::MembershipProbes, "membership_probes", "probes sent to other members" },
+        { Counter::MembershipProbesFailed, "membership_probes_failed", "probes that got no answer" },
+        { Counter::MembershipSuspicions, "membership_suspicions", "members suspected" },
+        { Counter::MembershipDeaths, "membership_deaths", "members declared dead" },
+        { Counter::ConfigurationsAdopted, "configurations_adopted", "configurations put in force" },
+        { Counter::ConfigurationsRejected, "configurations_rejected", "configurations that failed their checks" },
+        { Counter::SectionsFetched, "sections_fetched", "configuration sections fetched from other nodes" },
+        { Counter::PlatformCalls, "platform_calls", "calls to the platform's object API" },
+        { Counter::PlatformFailures, "platform_failures", "calls to the platform that failed or timed out" },
+        { Counter::PlatformConflicts, "platform_conflicts", "conditional updates that lost a race" },
+    } };
+
+    // Threads take stripes in turn, so that few of them share one.
+    size_t stripeOfThread()
+    {
+        static std::atomic<size_t> s_nextStripe { 0 };
+        thread_local const size_t stripe = s_nextStripe.fetch_add(1, std::memory_order_relaxed) % stripeCount;
+        return stripe;
+    }
+
+} // namespace
+
+struct Counters::Stripes {
+    struct alignas(64) Stripe {
+        std::array<std::atomic<uint64_t>, slotCount> counts {};
+    };
+
+    void add(size_t slot, uint64_t amount)
+    {
+        stripes[stripeOfThread()].counts[slot].fetch_add(amount, std::memory_order_relaxed);
+    }
+
+    uint64_t sum(size_t slot) const
+    {
+        uint64_t total = 0;
+        for (const auto& stripe : stripes)
+            total += stripe.counts[slot].load(std::memory_order_relaxed);
+        return total;
+    }
+
+    std::array<Stripe, stripeCount> stripes;
+};
+
+std::span<const CounterRow> counterTable() { return counterRows; }
+
+Counters::Counters()
+    : m_stripes(std::make_unique<Stripes>())
+{
+}
+
+Counters::~Counters() = default;
+
+void Counters::add(Counter counter, uint64_t amount) { m_stripes->add(static_cast<size_t>(counter), amount); }
+
+void Counters::addRefusal(Reason reason) { m_stripes->add(firstRefusal + static_cast<size_t>(reason), 1); }
+
+void Counters::addRetry(Reason reason) { m_stripes->add(firstRetry + static_cast<size_t>(reason), 1); }
+
+uint64_t Counters::value(Counter counter) const { return m_stripes->sum(static_cast<size_t>(counter)); }
+
+uint64_t Counters::refusals(Reason reason) const { return m_stripes->sum(firstRefusal + static_cast<size_t>(reason)); }
+
+uint64_t Counters::retries(Reason reason) const { return m_stripes->sum(firstRetry + static_cast<size_t>(reason)); }
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/messages/Messages.h
@@ -0,0 +1,250 @@
+/// Typed messages between nodes. Plain data only: how they are encoded is the business of the wire library, and what
+/// they mean is that of the controllers.
+#pragma once
+
+#include "core/Core.h"
+
+#include <variant>
+
+namespace Vanillaridge {
+
+// --- Requests (over TCP) ------------------------------------------------------------------------------------------
+
+/// One HTTP header field.
+struct HeaderField {
+    std::string name;
+    std::string value;
+    bool operator==(const HeaderField&) const = default;
+};
+
+/// What a node tells its callers about the load of the backend server beside it, with every answer.
+struct LoadFeedback {
+    ServiceName service;
+    /// Requests running and waiting.
+    uint32_t running { 0 };
+    uint32_t waiting { 0 };
+    /// Requests it lets run at once at present.
+    uint32_t limit { 0 };
+    /// What is shed, from 0 (nothing) to importanceCount (everything): classes in whole steps, the rest by request
+    /// hash.
+    double shedLevel { 0 };
+    /// Smoothed time that a request spends at the backend server.
+    Duration serviceTime { 0 };
+    /// Smoothed time that a request waits before it.
+    Duration queueTime { 0 };
+    bool draining { false };
+};
+
+/// Everything about a request that travels with it from the node where it entered to the guard.
+struct RequestContext {
+    AttemptId attempt;
+    /// Empty for a route that is open to all.
+    AccountName account;
+    RouteName route;
+    ServiceName service;
+    Importance importance { Importance::Normal };
+    bool idempotent { false };
+    /// Time left when the message was sent.
+    Duration remaining { 0 };
+    /// Retries that this request and all its calls may still spend.
+    uint32_t retriesLeft { 0 };
+    /// 1 for a caller's request, one more for each call further down.
+    uint32_t depth { 1 };
+    /// The same for all calls that one caller's request causes, so that whole requests are shed together.
+    uint64_t treeHash { 0 };
+};
+
+/// Opens a stream: a request for the backend server beside the receiver.
+struct OpenRequest {
+    RequestContext context;
+    std::string method;
+    std::string target;
+    std::vector<HeaderField> headers;
+    /// Whether body chunks follow.
+    bool hasBody { false };
+    /// The sender's BootClock when it sent this; with the handshake it bounds the message's age.
+    Duration sentAt { 0 };
+};
+
+/// The beginning of a backend server's answer.
+struct AnswerHead {
+    uint16_t status { 0 };
+    std::vector<HeaderField> headers;
+    bool hasBody { false };
+    LoadFeedback feedback;
+    /// Retries of the request that its calls have used.
+    uint32_t retriesUsed { 0 };
+};
+
+/// The guard's own answer: the request has not run, or may have, as the reason says.
+struct Refusal {
+    Reason reason { Reason::Internal };
+    /// Whether the backend server may have begun on it.
+    bool started { false };
+    Duration retryAfter { 0 };
+    LoadFeedback feedback;
+    uint32_t retriesUsed { 0 };
+};
+
+/// A piece of a body, in either direction.
+struct BodyChunk {
+    std::string bytes;
+    bool last { false };
+};
+
+/// Allows the other side to send further body bytes on this stream.
+struct BodyCredit {
+    uint64_t bytes { 0 };
+};
+
+/// The sender no longer wants the answer.
+struct CancelRequest {
+    Reason reason { Reason::CallerGone };
+};
+
+/// Asks over a fresh connection whether an attempt has started, and bars it if it has not.
+struct VerdictQuery {
+    AttemptId attempt;
+    /// The run of the guard that the attempt was sent to.
+    BootId guard;
+};
+
+enum class VerdictKind : uint8_t { NotStarted, Started, Unknown };
+
+struct VerdictReply {
+    AttemptId attempt;
+    VerdictKind kind { VerdictKind::Unknown };
+};
+
+// --- Rates (over TCP) ---------------------------------------------------------------------------------------------
+
+/// Asks for tokens of an account. Each pull is answered once and applied once.
+struct QuotaPull {
+    uint64_t pull { 0 };
+    AccountName account;
+    double wanted { 0 };
+    /// Configuration number whose rate the asker goes by.
+    uint64_t configuration { 0 };
+};
+
+/// Tokens that have left their sender. They expire `lifetime` after the requester sent the pull.
+struct QuotaGrant {
+    uint64_t pull { 0 };
+    AccountName account;
+    double tokens { 0 };
+    Duration lifetime { 0 };
+    /// When to ask again if too little came.
+    Duration retryAfter { 0 };
+};
+
+// --- Membership (over UDP) ----------------------------------------------------------------------------------------
+
+enum class MemberState : uint8_t { Alive, Suspect, Left, Dead };
+
+/// A backend server as announced to the node beside it.
+struct ServerAnnouncement {
+    ServiceName service;
+    /// Grows with each announcement after a withdrawal.
+    uint64_t generation { 0 };
+    uint32_t slots { 0 };
+    bool draining { false };
+    bool operator==(const ServerAnnouncement&) const = default;
+};
+
+/// What one node says of itself, as others pass it on.
+struct MemberUpdate {
+    Endpoint endpoint;
+    ZoneName zone;
+    Incarnation incarnation;
+    /// Grows whenever the member itself changes what it says.
+    uint64_t version { 0 };
+    BootId boot;
+    MemberState state { MemberState::Alive };
+    std::vector<ServerAnnouncement> servers;
+    /// Quota slots that the member holds.
+    std::vector<uint32_t> quotaSlots;
+};
+
+/// What is known of the configuration, on every membership message.
+struct ConfigurationNews {
+    uint64_t number { 0 };
+    uint64_t contentHash { 0 };
+    /// Time since somebody read this number from the platform.
+    Duration confirmedAgo { 0 };
+    /// Whether the platform answers those who watch it, as far as the sender has heard.
+    bool platformReachable { false };
+};
+
+/// Are you there? Sent to the receiver itself, or on behalf of somebody who got no answer.
+struct Probe {
+    uint64_t sequence { 0 };
+    /// Empty, or the member to probe for the sender.
+    Endpoint target;
+    ConfigurationNews news;
+    std::vector<MemberUpdate> updates;
+};
+
+struct ProbeAcknowledgement {
+    uint64_t sequence { 0 };
+    /// Empty, or the member that was probed for the receiver.
+    Endpoint target;
+    ConfigurationNews news;
+    std::vector<MemberUpdate> updates;
+};
+
+/// Hash of everything the sender knows about each bucket of members, for finding what was missed.
+struct MemberDigest {
+    std::vector<uint64_t> buckets;
+    /// Whether the receiver should answer with its own.
+    bool wantsReply { false };
+    ConfigurationNews news;
+};
+
+/// Members of buckets that differed.
+struct MemberBuckets {
+    std::vector<uint32_t> buckets;
+    std::vector<MemberUpdate> updates;
+    bool wantsReply { false };
+};
+
+// --- Configuration (over TCP) -------------------------------------------------------------------------------------
+
+/// Name and content hash of one section of a manifest.
+struct SectionReference {
+    std::string name;
+    uint64_t hash { 0 };
+    bool operator==(const SectionReference&) const = default;
+};
+
+/// Asks a peer for the list of sections of an accepted configuration.
+struct SectionListRequest {
+    uint64_t number { 0 };
+};
+
+struct SectionList {
+    uint64_t number { 0 };
+    uint64_t contentHash { 0 };
+    std::vector<SectionReference> sections;
+};
+
+/// Asks a peer for sections by their content.
+struct SectionRequest {
+    uint64_t number { 0 };
+    std::vector<uint64_t> hashes;
+};
+
+struct SectionReply {
+    uint64_t number { 0 };
+    std::vector<std::string> sections;
+};
+
+// --- All control messages -----------------------------------------------------------------------------------------
+
+/// Messages from controller to controller. Order is part of the protocol: append only.
+using ControlMessage = std::variant<QuotaPull, QuotaGrant, Probe, ProbeAcknowledgement, MemberDigest, MemberBuckets,
+    SectionListRequest, SectionList, SectionRequest, SectionReply>;
+
+/// Whether a message goes as one datagram; the others go over a connection.
+bool isDatagram(const ControlMessage&);
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/tests/FakePlatform.h
@@ -0,0 +1,159 @@
+// A platform in memory whose answers come when the test says so, and whose faults the test sets.
+#pragma once
+
+#include "platform/Platform.h"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace Vanillaridge {
+
+class FakePlatform final : public Platform {
+public:
+    // Calls fail at once, without effect.
+    bool down = false;
+    // Changes take effect, and their answers are lost.
+    bool losesAnswers = false;
+    // Reads and watches see the object as it was before its latest change.
+    bool readsStale = false;
+    // Watches are never answered.
+    bool watchesSilent = false;
+    // Calls made so far, waiting watches included.
+    size_t calls = 0;
+
+    void get(std::string_view name, Callback<StoredObject> done) override
+    {
+        answer(std::move(done), [this, name = std::string(name)] { return read(name); });
+    }
+
+    void list(std::string_view prefix, Callback<std::vector<StoredObject>> done) override
+    {
+        answer(std::move(done), [this, prefix = std::string(prefix)]() -> PlatformResult<std::vector<StoredObject>> {
+            std::vector<StoredObject> found;
+            for (const auto& [name, history] : m_objects) {
+                if (!name.starts_with(prefix))
+                    continue;
+                if (const auto object = read(name))
+                    found.push_back(object.value());
+            }
+            return found;
+        });
+    }
+
+    void put(std::string_view name, std::string_view value, uint64_t expected, Callback<uint64_t> done) override
+    {
+        change(std::move(done), std::string(name), expected, std::string(value), false);
+    }
+
+    void remove(std::string_view name, uint64_t expected, Callback<uint64_t> done) override
+    {
+        change(std::move(done), std::string(name), expected, {}, true);
+    }
+
+    void watch(std::string_view name, uint64_t pastVersion, Duration, Callback<StoredObject> done) override
+    {
+        ++calls;
+        m_watches.push_back({ std::string(name), pastVersion, std::move(done) });
+    }
+
+    // Gives every answer that is due, and those that follow from them; returns how many.
+    size_t deliver()
+    {
+        size_t delivered = 0;
+        serveWatches();
+        while (!m_answers.empty()) {
+            auto next = std::move(m_answers.front());
+            m_answers.pop_front();
+            next();
+            ++delivered;
+            serveWatches();
+        }
+        return delivered;
+    }
+
+    // Ends every waiting watch as if its patience had run out, or the platform had failed.
+    void endWatches()
+    {
+        auto watches = std::exchange(m_watches, {});
+        for (auto& watch : watches)
+            m_answers.push_back([this, name = watch.name, done = std::move(watch.done)] {
+                done(down ? PlatformResult<StoredObject>(PlatformError::Unreachable) : read(name));
+            });
+    }
+
+    // What is stored now, whatever the faults.
+    std::optional<StoredObject> stored(std::string_view name) const
+    {
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end() || found->second.back().removed)
+            return std::nullopt;
+        return found->second.back().object;
+    }
+
+private:
+    struct Revision {
+        StoredObject object;
+        bool removed;
+    };
+    struct Watch {
+        std::string name;
+        uint64_t pastVersion;
+        Callback<StoredObject> done;
+    };
+
+    PlatformResult<StoredObject> read(const std::string& name) const
+    {
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end())
+            return PlatformError::NotFound;
+        const auto& history = found->second;
+        const auto& seen = readsStale && history.size() > 1 ? history[history.size() - 2] : history.back();
+        if (seen.removed)
+            return PlatformError::NotFound;
+        return seen.object;
+    }
+
+    template <typename Value, typename Call> void answer(Callback<Value> done, Call call)
+    {
+        ++calls;
+        m_answers.push_back([this, done = std::move(done), call = std::move(call)] {
+            done(down ? PlatformResult<Value>(PlatformError::Unreachable) : call());
+        });
+    }
+
+    void change(Callback<uint64_t> done, std::string name, uint64_t expected, std::string value, bool removes)
+    {
+        answer(std::move(done), [=, this]() -> PlatformResult<uint64_t> {
+            const auto present = stored(name);
+            if ((present ? present->version : absentVersion) != expected)
+                return PlatformError::Conflict;
+            m_objects[name].push_back({ { name, ++m_lastVersion, value }, removes });
+            if (losesAnswers)
+                return PlatformError::AnswerLost;
+            return m_lastVersion;
+        });
+    }
+
+    void serveWatches()
+    {
+        if (down || watchesSilent)
+            return;
+        for (size_t i = 0; i < m_watches.size();) {
+            const auto object = read(m_watches[i].name);
+            if (!object || object.value().version <= m_watches[i].pastVersion) {
+                ++i;
+                continue;
+            }
+            m_answers.push_back([done = std::move(m_watches[i].done), object] { done(object); });
+            m_watches.erase(m_watches.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+    }
+
+    std::map<std::string, std::vector<Revision>, std::less<>> m_objects;
+    std::deque<std::function<void()>> m_answers;
+    std::vector<Watch> m_watches;
+    uint64_t m_lastVersion = 0;
+};
+
+} // namespace Vanillaridge
