--- a/src/board/Counters.cpp
+++ b/src/board/Counters.cpp
@@ -50,8 +50,8 @@
     size_t stripeOfThread()
     {
         static std::atomic<size_t> s_nextStripe { 0 };
-        thread_local const size_t stripe = s_nextStripe.fetch_add(1, std::memory_order_relaxed) % stripeCount;
-        return stripe;
+        thread_local const size_t s_stripe = s_nextStripe.fetch_add(1, std::memory_order_relaxed) % stripeCount;
+        return s_stripe;
     }
 
 } // namespace
