Set down the quota's public interface

Pulls now name the slot that is to give tokens, so that one message serves slot holders and account homes alike.

--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -118,10 +118,15 @@
 
 // --- Rates (over TCP) ---------------------------------------------------------------------------------------------
 
-/// Asks for tokens of an account. Each pull is answered once and applied once.
+/// In place of a quota slot: the pull goes to the account's home, which passes on what it has pooled.
+constexpr uint32_t homeSlot = UINT32_MAX;
+
+/// Asks for tokens of an account. Each pull is answered at most once, and its answer applied at most once.
 struct QuotaPull {
     uint64_t pull { 0 };
     AccountName account;
+    /// The slot that is to give them, or homeSlot.
+    uint32_t slot { homeSlot };
     double wanted { 0 };
     /// Configuration number whose rate the asker goes by.
     uint64_t configuration { 0 };
