Serve rate and burst by leased quota slots and conserved tokens

Tokens are created by slot leases only, drawn by pulls, applied at most once, and expire by the requester's clock. The strategies conserved, conserved-home, leased-owner and static-split differ in the plan that each draws up for an account.

--- /dev/null
+++ b/src/quota/Bucket.h
@@ -0,0 +1,44 @@
+/// The bucket in which one slot creates tokens for one account.
+#pragma once
+
+#include "quota/Strategy.h"
+
+namespace Vanillaridge {
+
+/// What was asked for and what came of it.
+struct QuotaDraw {
+    double tokens { 0 };
+    /// When to ask again if too little came.
+    Duration retryAfter { 0 };
+};
+
+/// A token bucket that is empty at first, and whose level may be in debt after a change of rate.
+class Bucket {
+public:
+    /// Empty at `start`.
+    Bucket(const QuotaPlan&, Instant start);
+
+    /// Goes over to a changed plan. Tokens given before may still be used for a while at the old rate, so the higher
+    /// rate pays for them in advance; then max(bursts) + max(rates) x t holds across the change.
+    void adopt(const QuotaPlan&, Instant now);
+    /// Empties the bucket if it was last touched before the instant.
+    void emptyBefore(Instant);
+    /// Takes up to `wanted` tokens. Who gets too little is told a time that leaves room for those told before.
+    QuotaDraw draw(double wanted, Instant now);
+    /// Whether the plan that it goes by creates tokens like this one.
+    bool follows(const QuotaPlan& plan) const { return m_plan.createsLike(plan); }
+    /// Tokens created since the last call.
+    double takeCreated() { return std::exchange(m_created, 0); }
+
+private:
+    void refill(Instant now);
+
+    QuotaPlan m_plan;
+    double m_level { 0 };
+    Instant m_at;
+    /// Tokens promised to those who came in vain.
+    double m_backlog { 0 };
+    double m_created { 0 };
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/quota/LeaseRecord.h
@@ -0,0 +1,22 @@
+/// What the platform's object of a quota slot says.
+#pragma once
+
+#include "core/Core.h"
+
+namespace Vanillaridge {
+
+/// The value of a slot's object: free, or held by one run of a node.
+struct LeaseRecord {
+    bool held { false };
+    BootId holder;
+    /// Identity of the write, so that a holder recognises its own after a lost answer.
+    uint64_t nonce { 0 };
+    /// How long a taker has to see the object unchanged.
+    Duration term { 0 };
+};
+
+std::string toText(const LeaseRecord&);
+/// Nothing when the text is malformed.
+std::optional<LeaseRecord> leaseRecordFromText(std::string_view);
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/quota/Pools.h
@@ -0,0 +1,145 @@
+/// Tokens of each account at this node, the pulls that fetch more, and the requests that wait for them.
+#pragma once
+
+#include "quota/Directory.h"
+#include "quota/Slots.h"
+
+#include <deque>
+
+namespace Vanillaridge {
+
+/// Spends tokens, pulls further ones from slots or from the account's home, and passes them on where it is the home.
+///
+/// A pull's number is never used twice and its answer is applied at most once, so tokens can get lost on the way but
+/// not multiply. They expire a fixed time after the pull was sent, by this node's own clock.
+class Pools {
+public:
+    using PlansPointer = std::shared_ptr<const QuotaPlans>;
+    using DirectoryPointer = std::shared_ptr<const Directory>;
+
+    Pools(Board&, Clock&, RandomSource&, const QuotaSettings&, Slots&);
+
+    /// What the pools go by from now on.
+    void adopt(PlansPointer, DirectoryPointer);
+
+    QuotaDecision take(std::string_view account, QuotaCallback);
+    void giveBack(std::string_view account, const QuotaDecision&);
+    void receive(const Endpoint& from, const QuotaPull&);
+    void receive(const QuotaGrant&);
+    /// Ends what took too long, and pulls ahead of demand.
+    void tick();
+    /// Refuses every waiting request.
+    void refuseWaiting();
+    std::vector<QuotaAccountStatus> status();
+
+private:
+    struct Batch {
+        double tokens { 0 };
+        Instant expires;
+    };
+
+    struct Pull {
+        uint64_t number { 0 };
+        uint32_t index { 0 };
+        double wanted { 0 };
+        Instant sentAt;
+    };
+
+    /// A request of this node, or a pull of another one.
+    struct Waiter {
+        double wanted { 1 };
+        Instant until;
+        /// Where to put the decision while the request is still in take().
+        QuotaDecision* immediate { nullptr };
+        QuotaCallback callback;
+        /// Who pulls, if it is another node.
+        Endpoint from;
+        uint64_t pull { 0 };
+    };
+
+    /// Requests per second, smoothed over a short and over a long time. The lower of the two neither mistakes a burst
+    /// for lasting demand nor lags when demand ends.
+    struct Demand {
+        double fast { 0 };
+        double slow { 0 };
+        Instant at { Instant::min() };
+        void add(double requests, Instant now);
+        double perSecond() const { return std::min(fast, slow); }
+    };
+
+    struct Pool {
+        AccountName account;
+        QuotaPlan plan;
+        uint64_t generation { 0 };
+        /// Soonest to expire first.
+        std::vector<Batch> batches;
+        std::vector<Pull> pulls;
+        std::deque<Waiter> waiters;
+        /// When to ask each source again.
+        std::vector<Instant> notBefore;
+        uint32_t nextIndex { 0 };
+        /// Sources asked in vain since one gave what was wanted.
+        uint32_t misses { 0 };
+        Instant blockedUntil { Instant::min() };
+        Demand demand;
+        /// Whether tick() has this account on its list.
+        bool listed { false };
+
+        double tokens() const;
+        double pulled() const;
+        double waiting() const;
+    };
+
+    /// What has to be done after the pool's lock is released.
+    struct Effects {
+        std::vector<OutgoingMessage> messages;
+        std::vector<std::pair<QuotaCallback, QuotaDecision>> decisions;
+        bool listAccount { false };
+    };
+
+    template <typename Use> bool withPool(const AccountName&, Use&&);
+    bool refresh(Pool&, const AccountName&);
+    QuotaDecision takeFrom(Pool&, QuotaCallback&&, Effects&);
+    QuotaDecision queue(Pool&, QuotaCallback&&, Instant now, Effects&);
+    void settle(Pool&, Instant now, Effects&);
+    bool serveFirst(Pool&, Instant now, Effects&);
+    void decide(Waiter&, const QuotaDecision&, Effects&);
+    void refuse(Pool&, Waiter&, Instant now, Effects&);
+    void refuseAll(Pool&, Instant now, Effects&);
+    Duration retryAfter(const Pool&, Instant now);
+
+    double shortfall(const Pool&, Instant now) const;
+    bool pullOnce(Pool&, Instant now, Effects&);
+    bool pullFromHome(Pool&, const Endpoint& home, double amount, Instant now, Effects&);
+    bool pullFromSlot(Pool&, uint32_t index, double amount, Instant now, Effects&);
+    std::optional<uint32_t> nextSource(Pool&, Instant now) const;
+    void send(Pool&, const Endpoint& to, uint32_t slot, uint32_t index, double amount, Instant now, Effects&);
+    void noteResult(Pool&, uint32_t index, double wanted, const QuotaDraw&, Instant now);
+
+    void addTokens(Pool&, double tokens, Instant expires);
+    std::optional<Instant> spend(Pool&, double tokens);
+    void expire(Pool&, Instant now);
+    void endWaits(Pool&, Instant now, Effects&);
+    void endPulls(Pool&, Instant now);
+    void sweep(Instant now);
+    void finish(const AccountName&, Effects&);
+    PlansPointer plans();
+    DirectoryPointer directory();
+
+    Board& m_board;
+    Clock& m_clock;
+    RandomSource& m_random;
+    const QuotaSettings& m_settings;
+    Slots& m_slots;
+    std::atomic<uint64_t> m_nextPull;
+    std::atomic<uint64_t> m_generation { 0 };
+    std::mutex m_lock;
+    PlansPointer m_plans;
+    DirectoryPointer m_directory;
+    /// Accounts with requests that wait or pulls under way.
+    std::vector<AccountName> m_listed;
+    Instant m_sweptAt { Instant::min() };
+    Sharded<AccountName, Pool> m_pools;
+};
+
+} // namespace Vanillaridge
--- a/src/quota/Quota.cpp
+++ b/src/quota/Quota.cpp
@@ -1,43 +1,142 @@
 #include "quota/Quota.h"
 
+#include "quota/Pools.h"
+
 namespace Vanillaridge {
 
-struct Quota::Parts { };
+namespace {
+
+    // How often the members are read and the leases looked after.
+    constexpr Duration directoryInterval = milliseconds(500);
+    constexpr Duration leaseInterval = milliseconds(200);
+
+} // namespace
+
+struct Quota::Parts {
+    Parts(Board& board, Clock& clock, RandomSource& random, Platform& platform, const QuotaSettings& settings)
+        : board(board)
+        , clock(clock)
+        , settings(settings)
+        , slots(std::make_shared<Slots>(board, clock, random, platform, this->settings))
+        , pools(board, clock, random, this->settings, *slots)
+    {
+    }
+
+    void refresh(Instant now);
+    void adoptConfiguration(Instant now);
+    void readMembers(Instant now);
+    void advanceLeases(Instant now);
+
+    Board& board;
+    Clock& clock;
+    const QuotaSettings settings;
+    const std::shared_ptr<Slots> slots;
+    Pools pools;
+
+    std::mutex lock;
+    ConfigurationPointer configuration;
+    std::shared_ptr<const QuotaPlans> plans;
+    std::shared_ptr<const Directory> directory;
+    Instant membersReadAt { Instant::min() };
+    Instant leasesAdvancedAt { Instant::min() };
+    std::atomic<bool> ready { false };
+};
+
+// Draws up plans when another configuration is in force.
+void Quota::Parts::adoptConfiguration(Instant now)
+{
+    auto current = board.configuration().inForce();
+    if (!current || current == configuration)
+        return;
+    configuration = std::move(current);
+    plans = drawUpPlans(configuration->declarations(), settings, plans.get(), configuration->number(), now);
+    slots->adopt(*plans, now);
+}
 
-Quota::Quota(Board&, Clock&, RandomSource&, Platform&, const QuotaSettings&)
-    : m_parts(std::make_shared<Parts>())
+void Quota::Parts::readMembers(Instant now)
 {
+    if (directory && now - membersReadAt < directoryInterval)
+        return;
+    membersReadAt = now;
+    directory = std::make_shared<const Directory>(board, settings.slots, now, settings.handoverDelay, directory.get());
 }
 
-Quota::~Quota() = default;
+// Brings plans and members up to date, and hands them to the pools.
+void Quota::Parts::refresh(Instant now)
+{
+    std::lock_guard guard(lock);
+    adoptConfiguration(now);
+    readMembers(now);
+    pools.adopt(plans, directory);
+    ready = plans != nullptr;
+}
 
-QuotaDecision Quota::take(std::string_view, QuotaCallback) { return { QuotaAnswer::Admitted, {}, {} }; }
+// Slots are taken where this node is the preferred one and no live member says it holds them.
+void Quota::Parts::advanceLeases(Instant now)
+{
+    std::shared_ptr<const QuotaPlans> currentPlans;
+    std::shared_ptr<const Directory> members;
+    {
+        std::lock_guard guard(lock);
+        if (!plans || (leasesAdvancedAt != Instant::min() && now - leasesAdvancedAt < leaseInterval))
+            return;
+        leasesAdvancedAt = now;
+        currentPlans = plans;
+        members = directory;
+    }
+    const bool leases = currentPlans->strategy->usesLeases();
+    slots->advance(
+        currentPlans->strategy->leaseTerm(settings),
+        [&](uint32_t slot) { return leases && members->prefersSelf(slot) && members->holders(slot).empty(); },
+        [&](uint32_t slot) { return !leases || members->prefersOther(slot); });
+}
 
-void Quota::giveBack(std::string_view, const QuotaDecision&) { }
+Quota::Quota(Board& board, Clock& clock, RandomSource& random, Platform& platform, const QuotaSettings& settings)
+    : m_parts(std::make_shared<Parts>(board, clock, random, platform, settings))
+{
+}
 
-void Quota::receive(const Endpoint&, const QuotaPull&) { }
+Quota::~Quota() = default;
 
-void Quota::receive(const Endpoint&, const QuotaGrant&) { }
+QuotaDecision Quota::take(std::string_view account, QuotaCallback whenDecided)
+{
+    if (!m_parts->ready)
+        m_parts->refresh(m_parts->clock.now());
+    return m_parts->pools.take(account, std::move(whenDecided));
+}
 
-void Quota::tick() { }
+void Quota::giveBack(std::string_view account, const QuotaDecision& decision)
+{
+    m_parts->pools.giveBack(account, decision);
+}
 
-void Quota::release() { }
+void Quota::receive(const Endpoint& from, const QuotaPull& pull) { m_parts->pools.receive(from, pull); }
 
-bool Quota::released() const { return true; }
+void Quota::receive(const Endpoint&, const QuotaGrant& grant) { m_parts->pools.receive(grant); }
 
-std::vector<uint32_t> Quota::heldSlots() const { return {}; }
+void Quota::tick()
+{
+    const Instant now = m_parts->clock.now();
+    m_parts->refresh(now);
+    m_parts->advanceLeases(now);
+    m_parts->pools.tick();
+}
 
-QuotaStatus Quota::status() const { return {}; }
+void Quota::release()
+{
+    m_parts->slots->release();
+    m_parts->pools.refuseWaiting();
+}
 
-std::optional<std::string> problemOf(const QuotaSettings&) { return std::nullopt; }
+bool Quota::released() const { return m_parts->slots->released(); }
 
-std::optional<std::string> problemOf(const ClientAccount&, const QuotaSettings&) { return std::nullopt; }
+std::vector<uint32_t> Quota::heldSlots() const { return m_parts->slots->held(); }
 
-std::span<const std::string_view> quotaStrategyNames()
+QuotaStatus Quota::status() const
 {
-    static constexpr std::array<std::string_view, 4> s_names { "conserved", "conserved-home", "leased-owner",
-        "static-split" };
-    return s_names;
+    std::lock_guard guard(m_parts->lock);
+    const std::string name(m_parts->plans ? m_parts->plans->strategy->name() : std::string_view());
+    return { name, heldSlots(), m_parts->pools.status() };
 }
 
 } // namespace Vanillaridge
--- /dev/null
+++ b/src/quota/Slots.h
@@ -0,0 +1,97 @@
+/// The slots of this node: their leases in the platform, and the buckets that they allow it to keep.
+#pragma once
+
+#include "quota/Bucket.h"
+
+#include <atomic>
+
+namespace Vanillaridge {
+
+/// Takes, renews, uses and frees slot leases.
+///
+/// A taker must see an object unchanged for a whole term on its own clock before it overwrites it. A holder counts its
+/// term from before it sent its last renewal that took effect, and stops a margin earlier. Lost answers are resolved by
+/// reading back. A new holder starts with empty buckets.
+class Slots : public std::enable_shared_from_this<Slots> {
+public:
+    using SlotTest = std::function<bool(uint32_t)>;
+
+    Slots(Board&, Clock&, RandomSource&, Platform&, const QuotaSettings&);
+
+    /// Draws tokens for the plan's account; nothing if this node can't use the slot now.
+    std::optional<QuotaDraw> draw(uint32_t slot, const QuotaPlan&, double wanted);
+    /// Goes over to changed plans, also for accounts that nobody asks about.
+    void adopt(const QuotaPlans&, Instant now);
+    /// Takes the next step of every lease that needs one. `wanted` tells whether this node should take a slot,
+    /// `better` whether another member should have one that this node holds.
+    void advance(Duration term, const SlotTest& wanted, const SlotTest& better);
+    /// Stops the use of all slots and frees them.
+    void release();
+    bool released();
+    std::vector<uint32_t> held();
+
+private:
+    enum class Phase : uint8_t {
+        /// Not this node's business.
+        Idle,
+        /// Waits for a whole term without a change.
+        Observing,
+        Held,
+        /// Not used any more, but not yet free in the platform.
+        Releasing,
+    };
+
+    struct Slot {
+        Phase phase { Phase::Idle };
+        /// Whether a call to the platform is under way.
+        bool calling { false };
+        /// Whether a write may have taken effect without an answer: nothing is written before a read.
+        bool unsure { false };
+        Instant nextCall { Instant::min() };
+        /// Of the object, as last read or written.
+        uint64_t version { 0 };
+        /// Identity of the last write, and when it was sent.
+        uint64_t nonce { 0 };
+        Instant sentAt;
+        Duration term { 0 };
+        /// Since when this node holds the slot without a break; buckets are empty then.
+        Instant since;
+        Instant validUntil;
+        /// When the object was first seen as it is, and the term that its holder wrote.
+        Instant observedAt;
+        Duration observedTerm { 0 };
+        std::unordered_map<uint64_t, Bucket> buckets;
+    };
+
+    enum class Step : uint8_t { None, Read, Take, Renew, Free };
+
+    Step nextStep(Slot&, Instant now, bool wanted, bool handsOver) const;
+    Step begin(Slot&, Step, Duration term);
+    void call(uint32_t slot, Step, uint64_t version, const std::string& value);
+    void onRead(uint32_t slot, const PlatformResult<StoredObject>&);
+    void onWritten(uint32_t slot, Step, const PlatformResult<uint64_t>&);
+    void onObject(Slot&, const StoredObject&, Instant now);
+    void onOwnObject(Slot&, const StoredObject&, bool isLastWrite, Instant now);
+    void observe(Slot&, uint64_t version, Duration term, Instant now);
+    void hold(Slot&, uint64_t version, Instant now);
+    void extend(Slot&, uint64_t version);
+    void lose(Slot&);
+    void backOff(Slot&, Instant now);
+    bool usable(const Slot& slot, Instant now) const
+    {
+        return slot.phase == Phase::Held && now < slot.validUntil && !m_releasing;
+    }
+    QuotaDraw drawFrom(Slot&, const QuotaPlan&, uint32_t index, double wanted, Instant now);
+
+    Board& m_board;
+    Clock& m_clock;
+    RandomSource& m_random;
+    Platform& m_platform;
+    const QuotaSettings& m_settings;
+    const Instant m_startedAt;
+    std::atomic<bool> m_releasing { false };
+    std::atomic<Instant> m_nextHandover { Instant::min() };
+    Sharded<uint32_t, Slot> m_slots;
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/tests/QuotaWorld.h
@@ -0,0 +1,383 @@
+// Several quotas in one process, under one injected clock, with delivery that the test disturbs.
+#pragma once
+
+#include "FakePlatform.h"
+#include "QuotaHistory.h"
+#include "quota/Quota.h"
+
+#include <map>
+#include <queue>
+#include <set>
+
+namespace Vanillaridge {
+
+// A node's clock: runs a little fast or slow, and can freeze its node right after a reading.
+class NodeClock final : public Clock {
+public:
+    NodeClock(const Clock& real, double speed)
+        : m_real(real)
+        , m_start(real.now())
+        , m_speed(speed)
+    {
+    }
+
+    Instant now() const override
+    {
+        lastRead = m_real.now();
+        const double elapsed = static_cast<double>((lastRead - m_start).count()) * m_speed;
+        const Instant reading = m_start + Duration(static_cast<Duration::rep>(elapsed));
+        if (freezeAfterReads > 0 && --freezeAfterReads == 0 && freeze)
+            freeze();
+        return reading;
+    }
+
+    // The true time of the latest reading.
+    mutable Instant lastRead;
+    mutable int freezeAfterReads = 0;
+    std::function<void()> freeze;
+
+private:
+    const Clock& m_real;
+    Instant m_start;
+    double m_speed;
+};
+
+// A node's way to the platform: can be cut, and keeps answers back while the node is paused.
+class NodePlatform final : public Platform {
+public:
+    explicit NodePlatform(FakePlatform& shared)
+        : m_shared(shared)
+    {
+    }
+
+    bool cut = false;
+    bool paused = false;
+
+    void get(std::string_view name, Callback<StoredObject> done) override
+    {
+        pass(&Platform::get, std::move(done), name);
+    }
+    void list(std::string_view prefix, Callback<std::vector<StoredObject>> done) override
+    {
+        pass(&Platform::list, std::move(done), prefix);
+    }
+    void put(std::string_view name, std::string_view value, uint64_t version, Callback<uint64_t> done) override
+    {
+        pass(&Platform::put, std::move(done), name, value, version);
+    }
+    void remove(std::string_view name, uint64_t version, Callback<uint64_t> done) override
+    {
+        pass(&Platform::remove, std::move(done), name, version);
+    }
+    void watch(std::string_view, uint64_t, Duration, Callback<StoredObject>) override { }
+
+    void deliver()
+    {
+        while (!paused && !m_answers.empty()) {
+            auto next = std::move(m_answers.front());
+            m_answers.pop_front();
+            next();
+        }
+    }
+
+private:
+    template <typename Value, typename Call, typename... Arguments>
+    void pass(Call call, Callback<Value> done, Arguments... arguments)
+    {
+        if (cut) {
+            m_answers.push_back([done] { done(PlatformError::Unreachable); });
+            return;
+        }
+        (m_shared.*call)(arguments..., [this, done](PlatformResult<Value> result) {
+            const bool lost = cut;
+            m_answers.push_back([=] { done(lost ? PlatformResult<Value>(PlatformError::AnswerLost) : result); });
+        });
+    }
+
+    FakePlatform& m_shared;
+    std::deque<std::function<void()>> m_answers;
+};
+
+class QuotaWorld {
+public:
+    struct Node {
+        Node(const Clock& real, FakePlatform& shared, Identity identity, double speed, const QuotaSettings& settings)
+            : clock(real, speed)
+            , platform(shared)
+            , board(std::move(identity))
+            , random(makeSeededRandom(board.self().boot.value))
+            , quota(std::make_unique<Quota>(board, clock, *random, platform, settings))
+        {
+        }
+
+        NodeClock clock;
+        NodePlatform platform;
+        Board board;
+        std::unique_ptr<RandomSource> random;
+        std::unique_ptr<Quota> quota;
+        bool running = true;
+        bool paused = false;
+        // Nodes of different sides don't hear each other.
+        int side = 0;
+        std::deque<std::pair<Endpoint, ControlMessage>> inbox;
+        std::deque<std::pair<AccountName, size_t>> requests;
+    };
+
+    // How messages fare. Fractions are probabilities.
+    struct Delivery {
+        Duration delay = milliseconds(1);
+        Duration jitter = milliseconds(1);
+        double loss = 0;
+        double duplication = 0;
+        // Chance to come a second or two late.
+        double lateness = 0;
+    };
+
+    QuotaWorld(size_t count, const QuotaSettings& settings, Declarations declarations, uint64_t seed)
+        : settings(settings)
+        , random(makeSeededRandom(seed))
+        , m_declarations(std::move(declarations))
+    {
+        for (size_t i = 0; i < count; ++i)
+            nodes.push_back(makeNode(i));
+        m_replaced.resize(count);
+        spreadMembership();
+    }
+
+    const QuotaSettings settings;
+    std::unique_ptr<RandomSource> random;
+    ManualClock clock;
+    FakePlatform platform;
+    Delivery delivery;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::map<AccountName, QuotaHistory> histories;
+    size_t messages = 0;
+    // Whether members learn of each other's deaths and slots.
+    bool membershipRuns = true;
+
+    // Lets time pass in steps of a millisecond.
+    void run(Duration span)
+    {
+        const Instant end = clock.now() + span;
+        while (clock.now() < end)
+            step();
+    }
+
+    void step()
+    {
+        clock.advance(milliseconds(1));
+        platform.deliver();
+        for (auto& node : nodes)
+            if (active(*node))
+                node->platform.deliver();
+        deliverMessages();
+        const auto now = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch()).count();
+        for (size_t i = 0; i < nodes.size(); ++i) {
+            if (active(*nodes[i]) && (now + static_cast<int64_t>(i)) % tickMilliseconds == 0) {
+                nodes[i]->quota->tick();
+                collect(i);
+            }
+        }
+        if (membershipRuns && now % membershipMilliseconds == 0)
+            spreadMembership();
+    }
+
+    // A request enters at a node. A paused node takes it up when it wakes, a dead one never.
+    void request(size_t at, const AccountName& account)
+    {
+        const auto arrival = histories[account].arrive(clock.now());
+        if (!nodes[at]->running)
+            return;
+        nodes[at]->requests.emplace_back(account, arrival);
+        takeUp(at);
+    }
+
+    // Brings the node down without a word; a later run of it starts with nothing.
+    void crash(size_t at)
+    {
+        nodes[at]->running = false;
+        nodes[at]->quota.reset();
+    }
+
+    // Starts a new run at the same endpoint.
+    void restart(size_t at)
+    {
+        const int side = nodes[at]->side;
+        ++m_replaced[at];
+        m_graveyard.push_back(std::move(nodes[at]));
+        nodes[at] = makeNode(at);
+        nodes[at]->side = side;
+        spreadMembership();
+    }
+
+    void pause(size_t at) { nodes[at]->paused = nodes[at]->platform.paused = true; }
+
+    void resume(size_t at)
+    {
+        auto& node = *nodes[at];
+        node.paused = node.platform.paused = false;
+        if (!node.running)
+            return;
+        takeUp(at);
+        for (auto inbox = std::exchange(node.inbox, {}); const auto& [from, message] : inbox)
+            hand(at, from, message);
+    }
+
+    void configure(Declarations declarations)
+    {
+        m_declarations = std::move(declarations);
+        ++m_number;
+        for (auto& node : nodes)
+            adopt(*node);
+    }
+
+    void configure(size_t at, Declarations declarations)
+    {
+        nodes[at]->board.configuration().adopt(
+            std::make_shared<const Configuration>(++m_number, std::move(declarations)));
+    }
+
+    Endpoint endpoint(size_t at) const { return "10.0." + std::to_string(at / 250) + "." + std::to_string(at % 250); }
+
+    size_t heldSlots() const
+    {
+        size_t held = 0;
+        for (const auto& node : nodes)
+            held += node->running ? node->quota->heldSlots().size() : 0;
+        return held;
+    }
+
+    // Whether the slots of all nodes together are as many as there are.
+    bool allHeld() const { return heldSlots() == settings.slots; }
+
+    void collect(size_t at)
+    {
+        auto& node = *nodes[at];
+        for (auto& [to, message] : node.board.outbox().drain()) {
+            ++messages;
+            const auto found = m_indexOf.find(to);
+            if (found == m_indexOf.end())
+                continue;
+            if (random->unit() >= delivery.loss)
+                post(at, found->second, message);
+            if (random->unit() < delivery.duplication)
+                post(at, found->second, message);
+        }
+    }
+
+private:
+    static constexpr int64_t tickMilliseconds = 50;
+    static constexpr int64_t membershipMilliseconds = 1000;
+
+    struct InFlight {
+        Instant due;
+        uint64_t order;
+        size_t from;
+        size_t to;
+        ControlMessage message;
+        bool operator>(const InFlight& other) const { return std::tie(due, order) > std::tie(other.due, other.order); }
+    };
+
+    static bool active(const Node& node) { return node.running && !node.paused; }
+
+    std::unique_ptr<Node> makeNode(size_t at)
+    {
+        const double speed = 1 + settings.clockDrift * (2 * random->unit() - 1);
+        m_indexOf[endpoint(at)] = at;
+        auto node = std::make_unique<Node>(
+            clock, platform, Identity { endpoint(at), "zone", { random->next() }, { m_number } }, speed, settings);
+        adopt(*node);
+        return node;
+    }
+
+    void adopt(Node& node)
+    {
+        node.board.configuration().adopt(std::make_shared<const Configuration>(m_number, m_declarations));
+    }
+
+    void takeUp(size_t at)
+    {
+        auto& node = *nodes[at];
+        while (active(node) && !node.requests.empty()) {
+            const auto [account, arrival] = node.requests.front();
+            node.requests.pop_front();
+            auto* clockOfNode = &node.clock;
+            auto* history = &histories[account];
+            const auto decision = node.quota->take(account, [=](const QuotaDecision& later) {
+                if (later.answer == QuotaAnswer::Admitted)
+                    history->admit(arrival, clockOfNode->lastRead);
+            });
+            if (decision.answer == QuotaAnswer::Admitted)
+                history->admit(arrival, clockOfNode->lastRead);
+        }
+        collect(at);
+    }
+
+    void post(size_t from, size_t to, const ControlMessage& message)
+    {
+        auto delay = delivery.delay + random->jittered(delivery.jitter, 1) / 2;
+        if (random->unit() < delivery.lateness)
+            delay += random->jittered(milliseconds(1500), 1);
+        m_inFlight.push({ clock.now() + delay, ++m_order, from, to, message });
+    }
+
+    void deliverMessages()
+    {
+        while (!m_inFlight.empty() && m_inFlight.top().due <= clock.now()) {
+            const auto next = m_inFlight.top();
+            m_inFlight.pop();
+            auto& node = *nodes[next.to];
+            if (!node.running || node.side != nodes[next.from]->side)
+                continue;
+            if (node.paused)
+                node.inbox.emplace_back(endpoint(next.from), next.message);
+            else
+                hand(next.to, endpoint(next.from), next.message);
+        }
+    }
+
+    void hand(size_t at, const Endpoint& from, const ControlMessage& message)
+    {
+        auto& quota = *nodes[at]->quota;
+        if (const auto* pull = std::get_if<QuotaPull>(&message))
+            quota.receive(from, *pull);
+        else if (const auto* grant = std::get_if<QuotaGrant>(&message))
+            quota.receive(from, *grant);
+        collect(at);
+    }
+
+    // Tells every node what changed since it was told last.
+    void spreadMembership()
+    {
+        for (size_t j = 0; j < nodes.size(); ++j) {
+            const auto held = active(*nodes[j]) ? nodes[j]->quota->heldSlots() : std::vector<uint32_t>();
+            for (size_t i = 0; i < nodes.size(); ++i) {
+                const bool heard = active(*nodes[j]) && nodes[i]->side == nodes[j]->side;
+                if (i != j && nodes[i]->running)
+                    tell(*nodes[i], j, heard, held);
+            }
+        }
+    }
+
+    void tell(Node& listener, size_t about, bool heard, const std::vector<uint32_t>& held)
+    {
+        const auto state = heard ? MemberState::Alive : MemberState::Dead;
+        listener.board.members().update(NodeId::of(endpoint(about)), [&](MemberRecord& record) {
+            if (record.said.state == state && record.said.quotaSlots == held && !record.said.endpoint.empty())
+                return;
+            record.said.endpoint = endpoint(about);
+            record.said.state = state;
+            record.said.quotaSlots = held;
+        });
+    }
+
+    Declarations m_declarations;
+    uint64_t m_number = 1;
+    uint64_t m_order = 0;
+    std::map<Endpoint, size_t> m_indexOf;
+    std::vector<size_t> m_replaced;
+    std::vector<std::unique_ptr<Node>> m_graveyard;
+    std::priority_queue<InFlight, std::vector<InFlight>, std::greater<>> m_inFlight;
+};
+
+} // namespace Vanillaridge
