--- a/tests/QuotaWorld.h
+++ b/tests/QuotaWorld.h
@@ -135,6 +135,7 @@
 
     QuotaWorld(size_t count, const QuotaSettings& settings, Declarations declarations, uint64_t seed)
         : settings(settings)
+        , clockDrift(settings.clockDrift)
         , random(makeSeededRandom(seed))
         , m_declarations(std::move(declarations))
     {
@@ -145,6 +146,8 @@
     }
 
     const QuotaSettings settings;
+    // Largest error of the nodes' clocks.
+    const double clockDrift;
     std::unique_ptr<RandomSource> random;
     ManualClock clock;
     FakePlatform platform;
@@ -167,9 +170,8 @@
     {
         clock.advance(milliseconds(1));
         platform.deliver();
-        for (auto& node : nodes)
-            if (active(*node))
-                node->platform.deliver();
+        for (size_t i = 0; i < nodes.size(); ++i)
+            catchUp(i);
         deliverMessages();
         const auto now = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch()).count();
         for (size_t i = 0; i < nodes.size(); ++i) {
@@ -212,15 +214,27 @@
 
     void pause(size_t at) { nodes[at]->paused = nodes[at]->platform.paused = true; }
 
-    void resume(size_t at)
+    // The next step hands it what came in meanwhile.
+    void resume(size_t at) { nodes[at]->paused = nodes[at]->platform.paused = false; }
+
+    // Pauses the node in the middle of its work: right after it has read its clock so many times from now on.
+    void freezeWithin(size_t at, int reads, std::function<void()> meanwhile)
     {
         auto& node = *nodes[at];
-        node.paused = node.platform.paused = false;
-        if (!node.running)
-            return;
-        takeUp(at);
-        for (auto inbox = std::exchange(node.inbox, {}); const auto& [from, message] : inbox)
-            hand(at, from, message);
+        node.clock.freezeAfterReads = reads;
+        node.clock.freeze = [this, at, meanwhile = std::move(meanwhile)] {
+            pause(at);
+            meanwhile();
+            resume(at);
+        };
+    }
+
+    // Plans a clean stop; the run goes on until it is crashed.
+    void release(size_t at)
+    {
+        nodes[at]->board.startDraining();
+        nodes[at]->quota->release();
+        collect(at);
     }
 
     void configure(Declarations declarations)
@@ -282,7 +296,7 @@
 
     std::unique_ptr<Node> makeNode(size_t at)
     {
-        const double speed = 1 + settings.clockDrift * (2 * random->unit() - 1);
+        const double speed = 1 + clockDrift * (2 * random->unit() - 1);
         m_indexOf[endpoint(at)] = at;
         auto node = std::make_unique<Node>(
             clock, platform, Identity { endpoint(at), "zone", { random->next() }, { m_number } }, speed, settings);
@@ -295,11 +309,27 @@
         node.board.configuration().adopt(std::make_shared<const Configuration>(m_number, m_declarations));
     }
 
+    // Gives a running node the answers, messages and requests that it has not seen yet.
+    void catchUp(size_t at)
+    {
+        auto& node = *nodes[at];
+        if (!active(node))
+            return;
+        node.platform.deliver();
+        while (active(node) && !node.inbox.empty()) {
+            const auto [from, message] = std::move(node.inbox.front());
+            node.inbox.pop_front();
+            hand(at, from, message);
+        }
+        takeUp(at);
+    }
+
     void takeUp(size_t at)
     {
         auto& node = *nodes[at];
         while (active(node) && !node.requests.empty()) {
-            const auto [account, arrival] = node.requests.front();
+            const AccountName account = node.requests.front().first;
+            const size_t arrival = node.requests.front().second;
             node.requests.pop_front();
             auto* clockOfNode = &node.clock;
             auto* history = &histories[account];
