--- a/tests/QuotaWorld.h
+++ b/tests/QuotaWorld.h
@@ -119,6 +119,8 @@
         bool paused = false;
         // Nodes of different sides don't hear each other.
         int side = 0;
+        // Control messages sent and received.
+        size_t messages = 0;
         std::deque<std::pair<Endpoint, ControlMessage>> inbox;
         std::deque<std::pair<AccountName, size_t>> requests;
     };
@@ -237,18 +239,22 @@
         collect(at);
     }
 
-    void configure(Declarations declarations)
+    // Puts a configuration in force at one node.
+    void configure(size_t at, Declarations declarations)
     {
-        m_declarations = std::move(declarations);
-        ++m_number;
-        for (auto& node : nodes)
-            adopt(*node);
+        for (const auto& account : declarations.accounts)
+            m_rates[account.name] = account.rate;
+        nodes[at]->board.configuration().adopt(std::make_shared<const Configuration>(++m_number, declarations));
     }
 
-    void configure(size_t at, Declarations declarations)
+    // What nodes start with.
+    const Declarations& declarations() const { return m_declarations; }
+
+    // The rate that configure() gave the account, if it did.
+    std::optional<double> configuredRate(const AccountName& account) const
     {
-        nodes[at]->board.configuration().adopt(
-            std::make_shared<const Configuration>(++m_number, std::move(declarations)));
+        const auto found = m_rates.find(account);
+        return found == m_rates.end() ? std::nullopt : std::optional(found->second);
     }
 
     Endpoint endpoint(size_t at) const { return "10.0." + std::to_string(at / 250) + "." + std::to_string(at % 250); }
@@ -269,6 +275,7 @@
         auto& node = *nodes[at];
         for (auto& [to, message] : node.board.outbox().drain()) {
             ++messages;
+            ++node.messages;
             const auto found = m_indexOf.find(to);
             if (found == m_indexOf.end())
                 continue;
@@ -368,6 +375,7 @@
 
     void hand(size_t at, const Endpoint& from, const ControlMessage& message)
     {
+        ++nodes[at]->messages;
         auto& quota = *nodes[at]->quota;
         if (const auto* pull = std::get_if<QuotaPull>(&message))
             quota.receive(from, *pull);
@@ -381,27 +389,30 @@
     {
         for (size_t j = 0; j < nodes.size(); ++j) {
             const auto held = active(*nodes[j]) ? nodes[j]->quota->heldSlots() : std::vector<uint32_t>();
+            MemberUpdate said;
+            said.endpoint = endpoint(j);
+            said.quotaSlots = held;
+            const auto id = NodeId::of(said.endpoint);
             for (size_t i = 0; i < nodes.size(); ++i) {
                 const bool heard = active(*nodes[j]) && nodes[i]->side == nodes[j]->side;
+                said.state = heard ? MemberState::Alive : MemberState::Dead;
                 if (i != j && nodes[i]->running)
-                    tell(*nodes[i], j, heard, held);
+                    tell(*nodes[i], id, said);
             }
         }
     }
 
-    void tell(Node& listener, size_t about, bool heard, const std::vector<uint32_t>& held)
+    static void tell(Node& listener, NodeId about, const MemberUpdate& said)
     {
-        const auto state = heard ? MemberState::Alive : MemberState::Dead;
-        listener.board.members().update(NodeId::of(endpoint(about)), [&](MemberRecord& record) {
-            if (record.said.state == state && record.said.quotaSlots == held && !record.said.endpoint.empty())
-                return;
-            record.said.endpoint = endpoint(about);
-            record.said.state = state;
-            record.said.quotaSlots = held;
+        listener.board.members().update(about, [&](MemberRecord& record) {
+            const auto& known = record.said;
+            if (known.state != said.state || known.quotaSlots != said.quotaSlots || known.endpoint.empty())
+                record.said = said;
         });
     }
 
-    Declarations m_declarations;
+    const Declarations m_declarations;
+    std::map<AccountName, double> m_rates;
     uint64_t m_number = 1;
     uint64_t m_order = 0;
     std::map<Endpoint, size_t> m_indexOf;
