Leave parts of tokens at their slots until they add up

Change: a slot gives no part of a token unless asked to; a node collects parts only once they are known to add up.

Tried and reverted: lending shares of a slot's rate to nodes with lasting demand.

--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -128,16 +128,21 @@
     /// The slot that is to give them, or homeSlot.
     uint32_t slot { homeSlot };
     double wanted { 0 };
+    /// Give no tokens at all if there are fewer than this.
+    double least { 0 };
     /// Configuration number whose rate the asker goes by.
     uint64_t configuration { 0 };
 };
 
-/// Tokens that have left their sender. They expire `lifetime` after the requester sent the pull.
+/// Tokens that have left their sender. They expire `lifetime` after the requester sent the
+/// pull.
 struct QuotaGrant {
     uint64_t pull { 0 };
     AccountName account;
     double tokens { 0 };
     Duration lifetime { 0 };
+    /// Tokens that were left, when too few came.
+    double left { 0 };
     /// When to ask again if too little came.
     Duration retryAfter { 0 };
 };
--- a/src/quota/Bucket.cpp
+++ b/src/quota/Bucket.cpp
@@ -26,11 +26,11 @@
 {
     if (now <= m_at)
         return;
-    const double created = m_plan.slotRate * inSeconds(now - m_at);
-    const double level = std::min(m_plan.slotCapacity, m_level + created);
+    const double passed = inSeconds(now - m_at);
+    const double level = std::min(m_plan.slotCapacity, m_level + m_plan.slotRate * passed);
     m_created += std::max(0.0, level - m_level);
-    m_level = std::max(m_level, level);
-    m_backlog = std::max(0.0, m_backlog - created);
+    m_level = level;
+    m_backlog = std::max(0.0, m_backlog - m_plan.slotRate * passed);
     m_at = now;
 }
 
@@ -50,19 +50,21 @@
     m_at = start;
 }
 
-QuotaDraw Bucket::draw(double wanted, Instant now)
+QuotaDraw Bucket::draw(double wanted, double least, Instant now)
 {
     refill(now);
     QuotaDraw draw;
-    draw.tokens = std::clamp(wanted, 0.0, std::max(0.0, m_level));
+    draw.tokens = m_level >= least ? std::clamp(wanted, 0.0, std::max(0.0, m_level)) : 0;
     m_level -= draw.tokens;
     if (draw.tokens >= wanted)
         return draw;
-    const double missing = (wanted - draw.tokens) / std::min<double>(m_plan.slots, slotsPerRound);
-    const double wait = (missing + m_backlog - std::min(0.0, m_level)) / m_plan.slotRate;
+    draw.left = std::max(0.0, m_level);
+    const double missing = std::max(0.0, wanted - draw.tokens - draw.left);
+    const double part = missing / std::min<double>(m_plan.slots, slotsPerRound);
+    const double wait = (part + m_backlog - std::min(0.0, m_level)) / m_plan.slotRate;
     draw.retryAfter = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(std::clamp(wait, inSeconds(shortestRetry), inSeconds(longestRetry))));
-    m_backlog += missing;
+    m_backlog += part;
     return draw;
 }
 
--- a/src/quota/Bucket.h
+++ b/src/quota/Bucket.h
@@ -10,6 +10,8 @@
     double tokens { 0 };
     /// When to ask again if too little came.
     Duration retryAfter { 0 };
+    /// Tokens left when too few came.
+    double left { 0 };
 };
 
 /// A token bucket that is empty at first, and whose level may be in debt after a change of rate.
@@ -23,8 +25,9 @@
     void adopt(const QuotaPlan&, Instant now);
     /// Empties the bucket if it was last touched before the instant.
     void emptyBefore(Instant);
-    /// Takes up to `wanted` tokens. Who gets too little is told a time that leaves room for those told before.
-    QuotaDraw draw(double wanted, Instant now);
+    /// Takes up to `wanted` tokens, but none if there are fewer than `least`. Who gets too little is told a time that
+    /// leaves room for those told before.
+    QuotaDraw draw(double wanted, double least, Instant now);
     /// Whether the plan that it goes by creates tokens like this one.
     bool follows(const QuotaPlan& plan) const { return m_plan.createsLike(plan); }
     /// Tokens created since the last call.
--- a/src/quota/LeaseRecord.cpp
+++ b/src/quota/LeaseRecord.cpp
@@ -9,8 +9,8 @@
 {
     if (!record.held)
         return "free";
-    const auto term = std::chrono::duration_cast<milliseconds>(record.term).count();
-    return fmt::format("held {:x} {:x} {}", record.holder.value, record.nonce, term);
+    const auto term = std::chrono::ceil<milliseconds>(record.term).count();
+    return fmt::format("held {} {:x} {:x}", term, record.holder.value, record.nonce);
 }
 
 std::optional<LeaseRecord> leaseRecordFromText(std::string_view text)
@@ -19,11 +19,11 @@
         return LeaseRecord {};
     std::istringstream in { std::string(text) };
     std::string word;
-    LeaseRecord record { true, {}, 0, {} };
     milliseconds::rep term = 0;
-    if (!(in >> word >> std::hex >> record.holder.value >> record.nonce >> std::dec >> term) || word != "held")
+    LeaseRecord record { true, {}, 0, {} };
+    if (!(in >> word >> term >> std::hex >> record.holder.value >> record.nonce) || word != "held" || term < 0)
         return std::nullopt;
-    if (term < 0 || !(in >> std::ws).eof())
+    if (!(in >> std::ws).eof())
         return std::nullopt;
     record.term = milliseconds(term);
     return record;
--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -1,15 +1,11 @@
 #include "quota/Pools.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Vanillaridge {
 
 namespace {
 
-    // Time constants of the smoothed demand.
-    constexpr Duration fastSmoothing = milliseconds(500);
-    constexpr Duration slowSmoothing = seconds(4);
     // Requests of one account that may wait at one node.
     constexpr size_t longestQueue = 4096;
     // Part of the patience for which a home keeps another node's pull.
@@ -18,52 +14,10 @@
     constexpr Duration unreachableRetry = seconds(1);
     constexpr Duration shortestRetry = milliseconds(1);
     constexpr double retryJitter = 0.1;
-    constexpr Duration sweepInterval = seconds(1);
-    constexpr double forgottenDemand = 0.01;
-    // Shares of a token below this are rounding.
-    constexpr double negligible = 1e-6;
     constexpr double largestPull = 1e6;
 
-    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
-void Pools::Demand::add(double requests, Instant now)
-{
-    if (at != Instant::min() && now > at) {
-        const double step = inSeconds(now - at);
-        fast *= std::exp(-step / inSeconds(fastSmoothing));
-        slow *= std::exp(-step / inSeconds(slowSmoothing));
-    }
-    at = std::max(at, now);
-    fast += requests / inSeconds(fastSmoothing);
-    slow += requests / inSeconds(slowSmoothing);
-}
-
-double Pools::Pool::tokens() const
-{
-    double sum = 0;
-    for (const auto& batch : batches)
-        sum += batch.tokens;
-    return sum;
-}
-
-double Pools::Pool::pulled() const
-{
-    double sum = 0;
-    for (const auto& pull : pulls)
-        sum += pull.wanted;
-    return sum;
-}
-
-double Pools::Pool::waiting() const
-{
-    double sum = 0;
-    for (const auto& waiter : waiters)
-        sum += waiter.wanted;
-    return sum;
-}
-
 Pools::Pools(Board& board, Clock& clock, RandomSource& random, const QuotaSettings& settings, Slots& slots)
     : m_board(board)
     , m_clock(clock)
@@ -121,9 +75,8 @@
     pool.account = account;
     pool.plan = *plan;
     pool.generation = current->generation;
-    pool.notBefore.resize(plan->slots, Instant::min());
-    if (!pool.nextIndex)
-        pool.nextIndex = static_cast<uint32_t>(mixHash(m_board.self().id().value, plan->accountHash) % plan->slots);
+    pool.sources.resize(plan->slots);
+    pool.nextIndex = static_cast<uint32_t>(mixHash(m_board.self().id().value, plan->accountHash) % plan->slots);
     return true;
 }
 
@@ -147,7 +100,7 @@
     if (pool.waiters.empty()) {
         // The clock is read again after the token is gone: it must still have been valid then.
         if (const auto expires = spend(pool, 1); expires && m_clock.now() < *expires) {
-            while (shortfall(pool, now) > negligible && pullOnce(pool, now, effects)) { }
+            while (pullOnce(pool, now, effects)) { }
             return { QuotaAnswer::Admitted, {}, *expires };
         }
     }
@@ -195,13 +148,7 @@
     if (!(pull.wanted > 0) || pull.wanted > largestPull)
         return;
     if (pull.slot != homeSlot) {
-        const auto current = plans();
-        const auto* plan = current ? current->find(pull.account) : nullptr;
-        const auto draw = plan ? m_slots.draw(pull.slot, *plan, pull.wanted) : std::nullopt;
-        QuotaGrant grant { pull.pull, pull.account, 0, {}, unreachableRetry };
-        if (draw)
-            grant = { pull.pull, pull.account, draw->tokens, plan->validity, draw->retryAfter };
-        m_board.outbox().post(from, grant);
+        m_board.outbox().post(from, answerFromSlot(pull));
         return;
     }
     Effects effects;
@@ -214,23 +161,36 @@
         settle(pool, now, effects);
     });
     if (!known)
-        effects.messages.push_back({ from, QuotaGrant { pull.pull, pull.account, 0, {}, unreachableRetry } });
+        effects.messages.push_back({ from, QuotaGrant { pull.pull, pull.account, 0, {}, 0, unreachableRetry } });
     finish(pull.account, effects);
 }
 
+// Draws from a slot of this node for another one.
+QuotaGrant Pools::answerFromSlot(const QuotaPull& pull)
+{
+    QuotaGrant grant { pull.pull, pull.account, 0, {}, 0, unreachableRetry };
+    const auto current = plans();
+    const auto* plan = current ? current->find(pull.account) : nullptr;
+    if (!plan)
+        return grant;
+    if (const auto draw = m_slots.draw(pull.slot, *plan, pull.wanted, pull.least))
+        grant = { pull.pull, pull.account, draw->tokens, plan->validity, draw->left, draw->retryAfter };
+    return grant;
+}
+
 void Pools::receive(const QuotaGrant& grant)
 {
     Effects effects;
     withPool(grant.account, [&](Pool& pool) {
         const Instant now = m_clock.now();
-        const auto pull = std::ranges::find(pool.pulls, grant.pull, &Pull::number);
-        if (pull == pool.pulls.end() || !(grant.tokens >= 0))
+        const auto found = std::ranges::find(pool.pulls, grant.pull, &Pull::number);
+        if (found == pool.pulls.end() || !(grant.tokens >= 0))
             return;
-        const double tokens = std::min(grant.tokens, pull->wanted);
-        addTokens(pool, tokens, pull->sentAt + std::min(grant.lifetime, m_settings.tokenValidity));
-        const Pull answered = *pull;
-        pool.pulls.erase(pull);
-        noteResult(pool, answered.index, answered.wanted, { tokens, grant.retryAfter }, now);
+        const Pull pull = *found;
+        pool.pulls.erase(found);
+        const double amount = std::min(grant.tokens, pull.wanted);
+        addTokens(pool, amount, pull.sentAt + grant.lifetime);
+        noteResult(pool, pull.index, pull.wanted, { amount, grant.retryAfter, grant.left }, now);
         expire(pool, now);
         settle(pool, now, effects);
     });
@@ -245,13 +205,18 @@
     do {
         while (!pool.waiters.empty() && serveFirst(pool, now, effects))
             pool.waiters.pop_front();
-    } while (shortfall(pool, now) > negligible && pullOnce(pool, now, effects));
+    } while (pullOnce(pool, now, effects) || collect(pool, now, effects));
     if (pool.pulls.empty())
         refuseAll(pool, now, effects);
-    if (!pool.listed && (!pool.pulls.empty() || !pool.waiters.empty())) {
-        pool.listed = true;
-        effects.listAccount = true;
-    }
+    if (!pool.pulls.empty() || !pool.waiters.empty())
+        list(pool, effects);
+}
+
+// Puts the account on the list of those that tick() looks after.
+void Pools::list(Pool& pool, Effects& effects)
+{
+    effects.listAccount = effects.listAccount || !pool.listed;
+    pool.listed = true;
 }
 
 // Gives the first in line its tokens, if they are there.
@@ -268,8 +233,8 @@
         return false;
     if (remote) {
         const auto wait = amount < first.wanted ? retryAfter(pool, now) : Duration(0);
-        effects.messages.push_back(
-            { first.from, QuotaGrant { first.pull, pool.account, amount, *expires - spentAt, wait } });
+        const auto lifetime = *expires - spentAt;
+        effects.messages.push_back({ first.from, QuotaGrant { first.pull, pool.account, amount, lifetime, 0, wait } });
     } else
         decide(first, { QuotaAnswer::Admitted, {}, *expires }, effects);
     return true;
@@ -287,7 +252,7 @@
 {
     const auto wait = retryAfter(pool, now);
     if (!waiter.from.empty())
-        effects.messages.push_back({ waiter.from, QuotaGrant { waiter.pull, pool.account, 0, {}, wait } });
+        effects.messages.push_back({ waiter.from, QuotaGrant { waiter.pull, pool.account, 0, {}, 0, wait } });
     else
         decide(waiter, { QuotaAnswer::Refused, wait, {} }, effects);
 }
@@ -303,133 +268,12 @@
 Duration Pools::retryAfter(const Pool& pool, Instant now)
 {
     Instant soonest = now + unreachableRetry;
-    for (const auto instant : pool.notBefore)
-        soonest = std::min(soonest, instant);
+    for (const auto& source : pool.sources)
+        soonest = std::min(soonest, source.notBefore);
     const auto wait = std::max({ soonest - now, pool.blockedUntil - now, shortestRetry });
     return wait + m_random.jittered(wait, 1.0) / static_cast<int>(1 / retryJitter);
 }
 
-// --- Tokens ---------------------------------------------------------------------------------------------------------
-
-void Pools::addTokens(Pool& pool, double tokens, Instant expires)
-{
-    if (tokens <= 0)
-        return;
-    const auto place = std::ranges::upper_bound(pool.batches, expires, {}, &Batch::expires);
-    pool.batches.insert(place, { tokens, expires });
-}
-
-// Takes tokens, the soonest to expire first; tells when the first of them expires. Nothing if there are too few.
-std::optional<Instant> Pools::spend(Pool& pool, double tokens)
-{
-    if (pool.batches.empty() || pool.tokens() < tokens)
-        return std::nullopt;
-    const Instant expires = pool.batches.front().expires;
-    auto batch = pool.batches.begin();
-    while (batch != pool.batches.end() && batch->tokens <= tokens) {
-        tokens -= batch->tokens;
-        ++batch;
-    }
-    if (batch != pool.batches.end())
-        batch->tokens -= tokens;
-    pool.batches.erase(pool.batches.begin(), batch);
-    return expires;
-}
-
-void Pools::expire(Pool& pool, Instant now)
-{
-    if (pool.batches.empty() || now < pool.batches.front().expires)
-        return;
-    const auto valid = std::ranges::upper_bound(pool.batches, now, {}, &Batch::expires);
-    double lost = 0;
-    for (auto batch = pool.batches.begin(); batch != valid; ++batch)
-        lost += batch->tokens;
-    pool.batches.erase(pool.batches.begin(), valid);
-    m_board.counters().add(Counter::QuotaTokensExpired, static_cast<uint64_t>(std::llround(lost)));
-}
-
-// --- Upkeep ---------------------------------------------------------------------------------------------------------
-
-// Looks after the accounts that have something under way, and now and then after all.
-void Pools::tick()
-{
-    const Instant now = m_clock.now();
-    std::vector<AccountName> accounts;
-    {
-        std::lock_guard guard(m_lock);
-        accounts.swap(m_listed);
-    }
-    for (const auto& account : accounts) {
-        Effects effects;
-        m_pools.visit(account, [&](Pool& pool) {
-            pool.listed = false;
-            endPulls(pool, now);
-            expire(pool, now);
-            endWaits(pool, now, effects);
-            if (refresh(pool, account))
-                settle(pool, now, effects);
-            else
-                refuseAll(pool, now, effects);
-        });
-        finish(account, effects);
-    }
-    sweep(now);
-}
-
-// Gives up pulls that were not answered.
-void Pools::endPulls(Pool& pool, Instant now)
-{
-    std::erase_if(pool.pulls, [&](const Pull& pull) {
-        if (now - pull.sentAt < m_settings.pullTimeout)
-            return false;
-        noteResult(pool, pull.index, pull.wanted, { 0, unreachableRetry }, now);
-        return true;
-    });
-}
-
-void Pools::endWaits(Pool& pool, Instant now, Effects& effects)
-{
-    std::erase_if(pool.waiters, [&](Waiter& waiter) {
-        if (now < waiter.until)
-            return false;
-        refuse(pool, waiter, now, effects);
-        return true;
-    });
-}
-
-// Forgets accounts that are at rest.
-void Pools::sweep(Instant now)
-{
-    if (m_sweptAt != Instant::min() && now - m_sweptAt < sweepInterval)
-        return;
-    m_sweptAt = now;
-    m_pools.forEach([&](const AccountName&, Pool& pool) {
-        expire(pool, now);
-        pool.demand.add(0, now);
-    });
-    m_pools.eraseIf([&](const AccountName&, const Pool& pool) {
-        const bool busy = !pool.pulls.empty() || !pool.waiters.empty() || !pool.batches.empty();
-        return !busy && now >= pool.blockedUntil && pool.demand.slow < forgottenDemand;
-    });
-}
-
-void Pools::refuseWaiting()
-{
-    Effects effects;
-    m_pools.forEach([&](const AccountName&, Pool& pool) { refuseAll(pool, m_clock.now(), effects); });
-    finish({}, effects);
-}
-
-std::vector<QuotaAccountStatus> Pools::status()
-{
-    std::vector<QuotaAccountStatus> accounts;
-    m_pools.forEach([&](const AccountName& name, const Pool& pool) {
-        accounts.push_back({ name, pool.tokens(), pool.demand.perSecond(), pool.waiters.size() });
-    });
-    std::ranges::sort(accounts, {}, &QuotaAccountStatus::account);
-    return accounts;
-}
-
 // Sends and calls what was decided, outside any lock.
 void Pools::finish(const AccountName& account, Effects& effects)
 {
--- a/src/quota/Pools.h
+++ b/src/quota/Pools.h
@@ -38,6 +38,7 @@
         Instant expires;
     };
 
+    /// A pull under way.
     struct Pull {
         uint64_t number { 0 };
         uint32_t index { 0 };
@@ -45,6 +46,13 @@
         Instant sentAt;
     };
 
+    /// What one source of tokens, a slot or the home, answered last.
+    struct Source {
+        Instant notBefore { Instant::min() };
+        /// Tokens that it had left when it gave too few.
+        double left { 0 };
+    };
+
     /// A request of this node, or a pull of another one.
     struct Waiter {
         double wanted { 1 };
@@ -75,8 +83,7 @@
         std::vector<Batch> batches;
         std::vector<Pull> pulls;
         std::deque<Waiter> waiters;
-        /// When to ask each source again.
-        std::vector<Instant> notBefore;
+        std::vector<Source> sources;
         uint32_t nextIndex { 0 };
         /// Sources asked in vain since one gave what was wanted.
         uint32_t misses { 0 };
@@ -108,13 +115,17 @@
     void refuseAll(Pool&, Instant now, Effects&);
     Duration retryAfter(const Pool&, Instant now);
 
+    QuotaGrant answerFromSlot(const QuotaPull&);
     double shortfall(const Pool&, Instant now) const;
     bool pullOnce(Pool&, Instant now, Effects&);
     bool pullFromHome(Pool&, const Endpoint& home, double amount, Instant now, Effects&);
-    bool pullFromSlot(Pool&, uint32_t index, double amount, Instant now, Effects&);
-    std::optional<uint32_t> nextSource(Pool&, Instant now) const;
-    void send(Pool&, const Endpoint& to, uint32_t slot, uint32_t index, double amount, Instant now, Effects&);
+    bool pullFromSlot(Pool&, uint32_t index, double amount, double least, Instant now, Effects&);
+    bool collect(Pool&, Instant now, Effects&);
+    std::optional<uint32_t> nextSource(const Pool&, Instant now) const;
+    Endpoint holderOf(uint32_t slot);
+    void send(Pool&, const Endpoint& to, uint32_t slot, const Pull&, double least, Effects&);
     void noteResult(Pool&, uint32_t index, double wanted, const QuotaDraw&, Instant now);
+    void list(Pool&, Effects&);
 
     void addTokens(Pool&, double tokens, Instant expires);
     std::optional<Instant> spend(Pool&, double tokens);
--- a/src/quota/Pulls.cpp
+++ b/src/quota/Pulls.cpp
@@ -19,6 +19,8 @@
     constexpr double fairAnswer = 0.5;
     // When to ask again for a slot that nobody is known to hold.
     constexpr Duration unknownHolderRetry = milliseconds(500);
+    // Parts of a token below this are rounding.
+    constexpr double negligible = 1e-6;
 
 } // namespace
 
@@ -40,7 +42,7 @@
 bool Pools::pullOnce(Pool& pool, Instant now, Effects& effects)
 {
     const double amount = shortfall(pool, now);
-    if (now < pool.blockedUntil || amount < pool.pulled())
+    if (amount <= negligible || now < pool.blockedUntil || amount < pool.pulled())
         return false;
     if (pool.plan.usesHome) {
         const auto home = directory()->home(pool.plan.accountHash);
@@ -48,58 +50,84 @@
             return pullFromHome(pool, home, amount, now, effects);
     }
     const auto source = nextSource(pool, now);
-    return source && pullFromSlot(pool, *source, amount, now, effects);
+    if (!source)
+        return false;
+    // A slot gives no more than its capacity, so larger amounts go to several of them. Parts of a token are left where
+    // they are until enough of them are known.
+    const double share = std::min(amount, std::max(1.0, pool.plan.slotCapacity));
+    return pullFromSlot(pool, *source, share, std::min(share, 1.0), now, effects);
 }
 
 bool Pools::pullFromHome(Pool& pool, const Endpoint& home, double amount, Instant now, Effects& effects)
 {
-    if (now < pool.notBefore.front())
+    if (now < pool.sources.front().notBefore)
         return false;
-    send(pool, home, homeSlot, 0, amount, now, effects);
+    send(pool, home, homeSlot, { m_nextPull.fetch_add(1), 0, amount, now }, 0, effects);
     return true;
 }
 
-// A slot gives no more than its capacity, so larger amounts go to several of them.
-bool Pools::pullFromSlot(Pool& pool, uint32_t index, double amount, Instant now, Effects& effects)
+bool Pools::pullFromSlot(Pool& pool, uint32_t index, double amount, double least, Instant now, Effects& effects)
 {
-    const double share = std::min(amount, std::max(1.0, pool.plan.slotCapacity));
     const auto slot = pool.plan.slotAt(index, m_settings.slots);
     pool.nextIndex = index;
-    if (const auto draw = m_slots.draw(slot, pool.plan, share)) {
+    if (const auto draw = m_slots.draw(slot, pool.plan, amount, least)) {
         addTokens(pool, draw->tokens, now + pool.plan.validity);
-        noteResult(pool, index, share, *draw, now);
-        return true;
-    }
-    const auto known = directory();
-    const auto holders = slot < m_settings.slots ? known->holders(slot) : std::span<const Endpoint>();
-    if (holders.empty()) {
-        noteResult(pool, index, share, { 0, unknownHolderRetry }, now);
+        noteResult(pool, index, amount, *draw, now);
         return true;
     }
-    send(pool, holders[m_random.below(holders.size())], slot, index, share, now, effects);
+    const auto holder = holderOf(slot);
+    if (holder.empty())
+        noteResult(pool, index, amount, { 0, unknownHolderRetry, 0 }, now);
+    else
+        send(pool, holder, slot, { m_nextPull.fetch_add(1), index, amount, now }, least, effects);
     return true;
 }
 
-void Pools::send(
-    Pool& pool, const Endpoint& to, uint32_t slot, uint32_t index, double amount, Instant now, Effects& effects)
+// One of the members that say they hold the slot; empty if none does.
+Endpoint Pools::holderOf(uint32_t slot)
 {
-    const auto number = m_nextPull.fetch_add(1);
-    pool.pulls.push_back({ number, index, amount, now });
-    effects.messages.push_back({ to, QuotaPull { number, pool.account, slot, amount, pool.generation } });
+    if (slot >= m_settings.slots)
+        return {};
+    const auto known = directory();
+    const auto holders = known->holders(slot);
+    return holders.empty() ? Endpoint() : holders[m_random.below(holders.size())];
+}
+
+void Pools::send(Pool& pool, const Endpoint& to, uint32_t slot, const Pull& pull, double least, Effects& effects)
+{
+    pool.pulls.push_back(pull);
+    effects.messages.push_back(
+        { to, QuotaPull { pull.number, pool.account, slot, pull.wanted, least, pool.generation } });
     m_board.counters().add(Counter::QuotaPulls);
-    if (!pool.listed) {
-        pool.listed = true;
-        effects.listAccount = true;
+    list(pool, effects);
+}
+
+// Fetches parts of tokens from several slots, once no slot has a whole one and they are known to add up to one.
+bool Pools::collect(Pool& pool, Instant now, Effects& effects)
+{
+    double missing = pool.waiters.empty() || !pool.pulls.empty() ? 0 : std::min(1.0, pool.waiting() - pool.tokens());
+    double known = 0;
+    for (const auto& source : pool.sources)
+        known += source.left;
+    if (missing <= negligible || known < missing)
+        return false;
+    for (uint32_t index = 0; index < pool.sources.size() && missing > negligible; ++index) {
+        const double part = std::min(missing, std::exchange(pool.sources[index].left, 0));
+        if (part <= negligible)
+            continue;
+        missing -= part;
+        pullFromSlot(pool, index, part, 0, now, effects);
     }
+    return true;
 }
 
 // The source that was good last, or the next one in the ring that may be asked and has no pull under way.
-std::optional<uint32_t> Pools::nextSource(Pool& pool, Instant now) const
+std::optional<uint32_t> Pools::nextSource(const Pool& pool, Instant now) const
 {
     for (uint32_t step = 0; step < pool.plan.slots; ++step) {
         const uint32_t index = (pool.nextIndex + step) % pool.plan.slots;
         const bool asked = std::ranges::any_of(pool.pulls, [&](const Pull& pull) { return pull.index == index; });
-        if (!asked && now >= pool.notBefore[index])
+        if (!asked && now >= pool.sources[index].notBefore)
             return index;
     }
     return std::nullopt;
@@ -108,10 +136,11 @@
 // Learns from an answer. A round of answers in vain ends the search for as long as the last one advises.
 void Pools::noteResult(Pool& pool, uint32_t index, double wanted, const QuotaDraw& draw, Instant now)
 {
-    if (index >= pool.notBefore.size())
+    if (index >= pool.sources.size())
         return;
-    pool.notBefore[index] = draw.tokens < wanted ? now + draw.retryAfter : now;
-    if (draw.tokens >= wanted)
+    const bool enough = draw.tokens >= wanted;
+    pool.sources[index] = { enough ? now : now + draw.retryAfter, enough ? 0 : draw.left };
+    if (enough)
         pool.misses = 0;
     else if (draw.tokens < wanted * fairAnswer)
         ++pool.misses;
--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -31,7 +31,7 @@
     /// Shortest life of a token that can still reach its requester.
     Duration minimumValidity { milliseconds(20) };
     /// Part of an account's burst that tokens away from their slots may take up.
-    double validityShare { 0.25 };
+    double validityShare { 0.1 };
     /// Largest relative error of any node's clock, in either direction.
     double clockDrift { 0.0005 };
     /// Longest time that a request waits for tokens on their way.
--- a/src/quota/Slots.cpp
+++ b/src/quota/Slots.cpp
@@ -32,7 +32,7 @@
 }
 
 // The lease is checked under the slot's lock before the draw and again after it: a pause in between loses tokens.
-std::optional<QuotaDraw> Slots::draw(uint32_t slot, const QuotaPlan& plan, double wanted)
+std::optional<QuotaDraw> Slots::draw(uint32_t slot, const QuotaPlan& plan, double wanted, double least)
 {
     const auto index = plan.indexOf(slot, m_settings.slots);
     if (!index)
@@ -48,7 +48,9 @@
             state.since = m_startedAt;
         else if (!usable(state, now))
             return std::nullopt;
-        const auto draw = drawFrom(state, plan, *index, wanted, now);
+        auto& bucket = bucketOf(state, plan, *index, now);
+        const auto draw = bucket.draw(wanted, least, now);
+        m_board.counters().add(Counter::QuotaTokensCreated, static_cast<uint64_t>(bucket.takeCreated()));
         if (!local && !usable(state, m_clock.now()))
             return std::nullopt;
         return draw;
@@ -56,7 +58,7 @@
 }
 
 // A bucket that nobody asked for yet is taken to exist, empty, since the slot is held or new in the plan.
-QuotaDraw Slots::drawFrom(Slot& state, const QuotaPlan& plan, uint32_t index, double wanted, Instant now)
+Bucket& Slots::bucketOf(Slot& state, const QuotaPlan& plan, uint32_t index, Instant now)
 {
     const auto start = index >= plan.firstNewIndex ? plan.newSince : Instant::min();
     const auto [found, created] = state.buckets.try_emplace(plan.accountHash, plan, std::max(state.since, start));
@@ -64,9 +66,7 @@
     if (!created && !bucket.follows(plan))
         bucket.adopt(plan, now);
     bucket.emptyBefore(start);
-    const auto draw = bucket.draw(wanted, now);
-    m_board.counters().add(Counter::QuotaTokensCreated, static_cast<uint64_t>(bucket.takeCreated()));
-    return draw;
+    return bucket;
 }
 
 // Every bucket sees every change, so that none fills at a rate that was not in force. Those of accounts that are gone
@@ -208,7 +208,6 @@
 void Slots::onObject(Slot& state, const StoredObject& object, Instant now)
 {
     const auto record = leaseRecordFromText(object.value);
-    const bool held = !record || record->held;
     const bool own = record && record->held && record->holder == m_board.self().boot;
     const bool holding = state.phase == Phase::Held || state.phase == Phase::Releasing;
     state.unsure = false;
@@ -226,8 +225,7 @@
         lose(state);
         return;
     }
-    const Duration term = record ? record->term : m_settings.leaseTerm;
-    observe(state, object.version, held ? term : Duration(0), now);
+    observe(state, object.version, record ? record->term : m_settings.leaseTerm, now);
 }
 
 // A write of this run has taken effect. Only the last one's time of sending is known, so only that one extends.
--- a/src/quota/Slots.h
+++ b/src/quota/Slots.h
@@ -19,7 +19,7 @@
     Slots(Board&, Clock&, RandomSource&, Platform&, const QuotaSettings&);
 
     /// Draws tokens for the plan's account; nothing if this node can't use the slot now.
-    std::optional<QuotaDraw> draw(uint32_t slot, const QuotaPlan&, double wanted);
+    std::optional<QuotaDraw> draw(uint32_t slot, const QuotaPlan&, double wanted, double least);
     /// Goes over to changed plans, also for accounts that nobody asks about.
     void adopt(const QuotaPlans&, Instant now);
     /// Takes the next step of every lease that needs one. `wanted` tells whether this node should take a slot,
@@ -81,7 +81,7 @@
     {
         return slot.phase == Phase::Held && now < slot.validUntil && !m_releasing;
     }
-    QuotaDraw drawFrom(Slot&, const QuotaPlan&, uint32_t index, double wanted, Instant now);
+    Bucket& bucketOf(Slot&, const QuotaPlan&, uint32_t index, Instant now);
 
     Board& m_board;
     Clock& m_clock;
--- a/src/quota/Strategy.cpp
+++ b/src/quota/Strategy.cpp
@@ -21,11 +21,11 @@
     }
 
     // Tokens live no longer than leaves a whole token at the slots, and most of the burst.
-    Duration validityOf(const ClientAccount& account, const QuotaSettings& settings)
+    Duration validityOf(const ClientAccount& account, double share, Duration longest)
     {
-        const double burst = std::min(settings.validityShare * account.burst, account.burst - wholeToken);
+        const double burst = std::min(share * account.burst, account.burst - wholeToken);
         const double limit = std::max(0.0, burst) / account.rate;
-        return limit < inSeconds(settings.tokenValidity) ? fromSeconds(limit) : settings.tokenValidity;
+        return limit < inSeconds(longest) ? fromSeconds(limit) : longest;
     }
 
     // Fills in what every leased strategy has in common. In any window of length t the slots give at most
@@ -45,22 +45,22 @@
     }
 
     // As many slots as the rate calls for, but each must keep a token or more.
-    uint32_t slotsFor(const ClientAccount& account, const QuotaSettings& settings, Duration validity)
+    uint32_t slotsFor(const ClientAccount& account, const QuotaSettings& settings, double burst)
     {
         const double byRate = std::ceil(account.rate / settings.ratePerSlot);
-        const double byBurst = std::floor(account.burst - account.rate * inSeconds(validity));
-        const double wanted = std::min(std::max<double>(byRate, settings.minimumSlotsPerAccount), byBurst);
+        const double wanted = std::min(std::max<double>(byRate, settings.minimumSlotsPerAccount), std::floor(burst));
         return static_cast<uint32_t>(std::clamp<double>(wanted, 1, settings.slots));
     }
 
-    // Slots create, nodes pull straight from them.
+    // Slots create, nodes pull straight from them, ahead of lasting demand.
     class Conserved : public QuotaStrategy {
     public:
         std::string_view name() const override { return "conserved"; }
         QuotaPlan plan(const ClientAccount& account, const QuotaSettings& settings) const override
         {
-            const auto validity = validityOf(account, settings);
-            auto plan = leasedPlan(account, settings, slotsFor(account, settings, validity), validity);
+            const auto validity = validityOf(account, settings.validityShare, settings.tokenValidity);
+            const auto slots = slotsFor(account, settings, account.burst - account.rate * inSeconds(validity));
+            auto plan = leasedPlan(account, settings, slots, validity);
             plan.pullsAhead = true;
             return plan;
         }
@@ -85,7 +85,7 @@
         Duration leaseTerm(const QuotaSettings& settings) const override { return settings.ownerLeaseTerm; }
         QuotaPlan plan(const ClientAccount& account, const QuotaSettings& settings) const override
         {
-            const auto validity = std::min<Duration>(validityOf(account, settings), settings.pullTimeout);
+            const auto validity = validityOf(account, settings.validityShare, settings.tokenValidity);
             return leasedPlan(account, settings, 1, validity);
         }
     };
@@ -193,7 +193,7 @@
     if (settings.renewalFraction <= 0 || settings.renewalFraction > 0.5)
         return "the renewal fraction must be above 0 and at most 0.5, so that one failed renewal loses no lease";
     if (settings.validityShare <= 0 || settings.validityShare >= 1)
-        return "the share of a burst that may be away from its slots must lie between 0 and 1";
+        return "the part of a burst that may be away from its slots must lie between 0 and 1";
     if (settings.clockDrift < 0 || settings.clockDrift > 0.01)
         return "the clock drift must lie between 0 and 0.01";
     if (settings.tokenValidity < settings.minimumValidity)
--- a/src/quota/Strategy.h
+++ b/src/quota/Strategy.h
@@ -23,7 +23,7 @@
     double rate { 0 };
     /// How long a token lives after the pull that fetched it was sent.
     Duration validity { 0 };
-    /// Whether nodes pull ahead of demand, or only what waiting requests need.
+    /// Whether nodes pull tokens ahead of demand, or only what waiting requests need.
     bool pullsAhead { false };
     /// Whether nodes pull from the account's home instead of from the slots.
     bool usesHome { false };
--- /dev/null
+++ b/src/quota/Upkeep.cpp
@@ -0,0 +1,97 @@
+// Ends what took too long, and forgets what is at rest.
+#include "quota/Pools.h"
+
+#include <algorithm>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // When to ask again a source that did not answer.
+    constexpr Duration unreachableRetry = seconds(1);
+    constexpr Duration sweepInterval = seconds(1);
+    constexpr double forgottenDemand = 0.01;
+
+} // namespace
+
+// Looks after the accounts that have something under way, and now and then after all.
+void Pools::tick()
+{
+    const Instant now = m_clock.now();
+    std::vector<AccountName> accounts;
+    {
+        std::lock_guard guard(m_lock);
+        accounts.swap(m_listed);
+    }
+    for (const auto& account : accounts) {
+        Effects effects;
+        m_pools.visit(account, [&](Pool& pool) {
+            pool.listed = false;
+            endPulls(pool, now);
+            expire(pool, now);
+            endWaits(pool, now, effects);
+            if (refresh(pool, account))
+                settle(pool, now, effects);
+            else
+                refuseAll(pool, now, effects);
+        });
+        finish(account, effects);
+    }
+    sweep(now);
+}
+
+// Gives up pulls that were not answered.
+void Pools::endPulls(Pool& pool, Instant now)
+{
+    std::erase_if(pool.pulls, [&](const Pull& pull) {
+        if (now - pull.sentAt < m_settings.pullTimeout)
+            return false;
+        noteResult(pool, pull.index, pull.wanted, { 0, unreachableRetry, 0 }, now);
+        return true;
+    });
+}
+
+void Pools::endWaits(Pool& pool, Instant now, Effects& effects)
+{
+    std::erase_if(pool.waiters, [&](Waiter& waiter) {
+        if (now < waiter.until)
+            return false;
+        refuse(pool, waiter, now, effects);
+        return true;
+    });
+}
+
+// Forgets accounts that are at rest.
+void Pools::sweep(Instant now)
+{
+    if (m_sweptAt != Instant::min() && now - m_sweptAt < sweepInterval)
+        return;
+    m_sweptAt = now;
+    m_pools.forEach([&](const AccountName&, Pool& pool) {
+        expire(pool, now);
+        pool.demand.add(0, now);
+    });
+    m_pools.eraseIf([&](const AccountName&, const Pool& pool) {
+        const bool busy = !pool.pulls.empty() || !pool.waiters.empty() || !pool.batches.empty();
+        return !busy && now >= pool.blockedUntil && pool.demand.slow < forgottenDemand;
+    });
+}
+
+void Pools::refuseWaiting()
+{
+    Effects effects;
+    m_pools.forEach([&](const AccountName&, Pool& pool) { refuseAll(pool, m_clock.now(), effects); });
+    finish({}, effects);
+}
+
+std::vector<QuotaAccountStatus> Pools::status()
+{
+    std::vector<QuotaAccountStatus> accounts;
+    m_pools.forEach([&](const AccountName& name, const Pool& pool) {
+        accounts.push_back({ name, pool.tokens(), pool.demand.perSecond(), pool.waiters.size() });
+    });
+    std::ranges::sort(accounts, {}, &QuotaAccountStatus::account);
+    return accounts;
+}
+
+} // namespace Vanillaridge
