Spread pulls over slots, and tell honest times to retry

Causes, each found by a test that failed: parts of a token that a node collected could round to less than one, and lay idle until they expired; a source that was never asked made the time to retry overflow (-8.7e18 ns printed); the time told after a collection came from before it; slots that several nodes kept to ran dry while others were full.

--- a/src/quota/Bucket.cpp
+++ b/src/quota/Bucket.cpp
@@ -8,7 +8,7 @@
 
     // Slots that a requester asks in vain before it gives up for a while: what it missed here, it looks for there too.
     constexpr double slotsPerRound = 8;
-    constexpr Duration shortestRetry = milliseconds(5);
+    constexpr Duration shortestRetry = milliseconds(50);
     constexpr Duration longestRetry = seconds(2);
 
     double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
--- a/src/quota/Pools.h
+++ b/src/quota/Pools.h
@@ -116,7 +116,7 @@
     Duration retryAfter(const Pool&, Instant now);
 
     QuotaGrant answerFromSlot(const QuotaPull&);
-    double shortfall(const Pool&, Instant now) const;
+    double shortfall(const Pool&) const;
     bool pullOnce(Pool&, Instant now, Effects&);
     bool pullFromHome(Pool&, const Endpoint& home, double amount, Instant now, Effects&);
     bool pullFromSlot(Pool&, uint32_t index, double amount, double least, Instant now, Effects&);
--- a/src/quota/Pulls.cpp
+++ b/src/quota/Pulls.cpp
@@ -12,7 +12,7 @@
     constexpr double aheadShare = 0.75;
     constexpr double lowWaterShare = 0.25;
     // Requests expected in a token's life from which pulling ahead pays.
-    constexpr double leastAhead = 8;
+    constexpr double leastAhead = 4;
     // Sources asked in vain before an account gives up for a while.
     constexpr uint32_t sourcesPerRound = 8;
     // A source that gave less than this part of what was wanted was asked in vain.
@@ -24,16 +24,14 @@
 
 } // namespace
 
-// Tokens that should be on their way and are not: those for waiting requests, and those for demand that lasts. An
-// account whose sources run dry pulls for waiting requests only, so that nothing lies idle elsewhere.
-double Pools::shortfall(const Pool& pool, Instant now) const
+// Tokens that should be on their way and are not: those for waiting requests, and those for demand that lasts.
+double Pools::shortfall(const Pool& pool) const
 {
     const double here = pool.tokens() + pool.pulled();
     const double waiting = pool.waiting();
     const double expected
         = std::min(pool.demand.perSecond(), pool.plan.rate) * std::chrono::duration<double>(pool.plan.validity).count();
-    const bool ahead = pool.plan.pullsAhead && expected >= leastAhead && !pool.misses && now >= pool.blockedUntil
-        && here - waiting < expected * lowWaterShare;
+    const bool ahead = pool.plan.pullsAhead && expected >= leastAhead && here - waiting < expected * lowWaterShare;
     return waiting - here + (ahead ? expected * aheadShare : 0);
 }
 
@@ -41,7 +39,7 @@
 // again, so that many requests at once cause few pulls.
 bool Pools::pullOnce(Pool& pool, Instant now, Effects& effects)
 {
-    const double amount = shortfall(pool, now);
+    const double amount = shortfall(pool);
     if (amount <= negligible || now < pool.blockedUntil || amount < pool.pulled())
         return false;
     if (pool.plan.usesHome) {
@@ -69,7 +67,7 @@
 bool Pools::pullFromSlot(Pool& pool, uint32_t index, double amount, double least, Instant now, Effects& effects)
 {
     const auto slot = pool.plan.slotAt(index, m_settings.slots);
-    pool.nextIndex = index;
+    pool.nextIndex = (index + 1) % pool.plan.slots;
     if (const auto draw = m_slots.draw(slot, pool.plan, amount, least)) {
         addTokens(pool, draw->tokens, now + pool.plan.validity);
         noteResult(pool, index, amount, *draw, now);
@@ -105,15 +103,21 @@
 // Fetches parts of tokens from several slots, once no slot has a whole one and they are known to add up to one.
 bool Pools::collect(Pool& pool, Instant now, Effects& effects)
 {
-    double missing = pool.waiters.empty() || !pool.pulls.empty() ? 0 : std::min(1.0, pool.waiting() - pool.tokens());
+    if (pool.waiters.empty() || !pool.pulls.empty())
+        return false;
+    // A little more than is missing, so that the sum of the parts never rounds to less than a token.
+    double missing = std::min(1.0, pool.waiting() - pool.tokens()) + negligible;
     double known = 0;
     for (const auto& source : pool.sources)
         known += source.left;
-    if (missing <= negligible || known < missing)
+    if (known < missing)
         return false;
-    for (uint32_t index = 0; index < pool.sources.size() && missing > negligible; ++index) {
+    // What is left then has to grow to a token again.
+    const double wait = std::max(0.0, 1 + missing - known) / pool.plan.rate;
+    pool.blockedUntil = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+    for (uint32_t index = 0; index < pool.sources.size() && missing > 0; ++index) {
         const double part = std::min(missing, std::exchange(pool.sources[index].left, 0));
-        if (part <= negligible)
+        if (part <= 0)
             continue;
         missing -= part;
         pullFromSlot(pool, index, part, 0, now, effects);
@@ -121,7 +125,7 @@
     return true;
 }
 
-// The source that was good last, or the next one in the ring that may be asked and has no pull under way.
+// The next source in the ring that may be asked and has no pull under way. Taking turns keeps the slots level.
 std::optional<uint32_t> Pools::nextSource(const Pool& pool, Instant now) const
 {
     for (uint32_t step = 0; step < pool.plan.slots; ++step) {
@@ -133,7 +137,8 @@
     return std::nullopt;
 }
 
-// Learns from an answer. A round of answers in vain ends the search for as long as the last one advises.
+// Learns from an answer. A round of answers in vain ends the search until the soonest of the times that they advise;
+// then all sources may be asked again, since what each has left may add up to a token.
 void Pools::noteResult(Pool& pool, uint32_t index, double wanted, const QuotaDraw& draw, Instant now)
 {
     if (index >= pool.sources.size())
@@ -148,6 +153,12 @@
         return;
     pool.misses = 0;
     pool.blockedUntil = now + draw.retryAfter;
+    for (const auto& source : pool.sources) {
+        if (source.notBefore > now)
+            pool.blockedUntil = std::min(pool.blockedUntil, source.notBefore);
+    }
+    for (auto& source : pool.sources)
+        source.notBefore = std::min(source.notBefore, pool.blockedUntil);
 }
 
 } // namespace Vanillaridge
