Tell the time after which parts of tokens add up again

Cause: after a collection the sources kept a later time than the account, so a caller that came back when told was refused for another 4 ms (seen by ThenRetryAfterIsHonest).

--- a/src/quota/Pools.h
+++ b/src/quota/Pools.h
@@ -125,6 +125,7 @@
     Endpoint holderOf(uint32_t slot);
     void send(Pool&, const Endpoint& to, uint32_t slot, const Pull&, double least, Effects&);
     void noteResult(Pool&, uint32_t index, double wanted, const QuotaDraw&, Instant now);
+    static void block(Pool&, Instant until);
     void list(Pool&, Effects&);
 
     void addTokens(Pool&, double tokens, Instant expires);
--- a/src/quota/Pulls.cpp
+++ b/src/quota/Pulls.cpp
@@ -114,7 +114,7 @@
         return false;
     // What is left then has to grow to a token again.
     const double wait = std::max(0.0, 1 + missing - known) / pool.plan.rate;
-    pool.blockedUntil = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+    block(pool, now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)));
     for (uint32_t index = 0; index < pool.sources.size() && missing > 0; ++index) {
         const double part = std::min(missing, std::exchange(pool.sources[index].left, 0));
         if (part <= 0)
@@ -152,13 +152,20 @@
     if (pool.misses < std::min(pool.plan.slots, sourcesPerRound))
         return;
     pool.misses = 0;
-    pool.blockedUntil = now + draw.retryAfter;
+    Instant until = now + draw.retryAfter;
     for (const auto& source : pool.sources) {
         if (source.notBefore > now)
-            pool.blockedUntil = std::min(pool.blockedUntil, source.notBefore);
+            until = std::min(until, source.notBefore);
     }
+    block(pool, until);
+}
+
+// Asks nobody until then, and everybody from then on.
+void Pools::block(Pool& pool, Instant until)
+{
+    pool.blockedUntil = until;
     for (auto& source : pool.sources)
-        source.notBefore = std::min(source.notBefore, pool.blockedUntil);
+        source.notBefore = std::min(source.notBefore, until);
 }
 
 } // namespace Vanillaridge
--- a/tests/QuotaTests.cpp
+++ b/tests/QuotaTests.cpp
@@ -1,7 +1,9 @@
 // libraries: quota
 #include "QuotaWorld.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace Vanillaridge;
 
@@ -116,6 +118,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenSeveralThreadsTakeAtOnce)
+
+BOOST_AUTO_TEST_CASE(ThenTheyShareOneBurst)
+{
+    QuotaWorld world(1, shortTerms(), declare({ { "owner", 10, 1000, {} } }), 1);
+    world.run(seconds(110));
+    auto& quota = *world.nodes[0]->quota;
+    std::atomic<int> admitted { 0 };
+    std::vector<std::jthread> threads;
+    for (int thread = 0; thread < 4; ++thread) {
+        threads.emplace_back([&] {
+            for (int i = 0; i < 1000; ++i) {
+                admitted += quota.take("owner").answer == QuotaAnswer::Admitted;
+                if (i % 100 == 0)
+                    quota.tick();
+            }
+        });
+    }
+    threads.clear();
+    BOOST_TEST(admitted <= 1000);
+    BOOST_TEST(admitted >= 900);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAnAccountIsNotDeclared)
 
 BOOST_AUTO_TEST_CASE(ThenItIsRefused)
