Measure the cost of a quota decision, and bound messages and refusals

QuotaBench without arguments checks the bounds on short traces whose outcome is the same in every run: no excess, at most 1 in-rate request in 500 refused at even entry, the busiest node at most 0.85 of a leased owner's messages, an account at five times its rate at most twice the messages of even entry.

--- a/bench/QuotaBench.cpp
+++ b/bench/QuotaBench.cpp
@@ -2,7 +2,6 @@
 #include "QuotaTraces.h"
 
 #include <benchmark/benchmark.h>
-#include <cstring>
 #include <fmt/core.h>
 
 using namespace Vanillaridge;
@@ -105,16 +104,106 @@
     }
 }
 
+// --- Cost of a decision -------------------------------------------------------------------------------------------
+
+// One node that holds all slots, with accounts so large that none is ever refused.
+struct LoneNode {
+    explicit LoneNode(size_t accounts)
+        : board({ "10.0.0.1", "zone", { 1 }, { 1 } })
+        , random(makeSeededRandom(1))
+        , quota(board, clock, *random, platform, QuotaSettings {})
+    {
+        Declarations declarations;
+        for (size_t i = 0; i < accounts; ++i) {
+            names.push_back(fmt::format("account-{}", i));
+            declarations.accounts.push_back({ names.back(), 1e9, 1e9, {} });
+        }
+        board.configuration().adopt(std::make_shared<const Configuration>(1, declarations));
+        for (int i = 0; i < 20; ++i) {
+            quota.tick();
+            platform.deliver();
+            clock.advance(milliseconds(200));
+        }
+    }
+
+    ManualClock clock;
+    FakePlatform platform;
+    Board board;
+    std::unique_ptr<RandomSource> random;
+    Quota quota;
+    std::vector<AccountName> names;
+};
+
+std::unique_ptr<LoneNode> loneNode;
+
+void takeTokens(benchmark::State& state)
+{
+    if (!state.thread_index())
+        loneNode = std::make_unique<LoneNode>(static_cast<size_t>(state.range(0)));
+    size_t next = static_cast<size_t>(state.thread_index()) * 7919;
+    size_t admitted = 0;
+    for (auto _ : state) {
+        next = (next * 6364136223846793005 + 1442695040888963407);
+        const auto& name = loneNode->names[(next >> 33) % loneNode->names.size()];
+        admitted += loneNode->quota.take(name).answer == QuotaAnswer::Admitted;
+    }
+    state.counters["admitted"] = benchmark::Counter(
+        static_cast<double>(admitted) / static_cast<double>(state.iterations()), benchmark::Counter::kAvgThreads);
+}
+
+void tickIdle(benchmark::State& state)
+{
+    LoneNode node(static_cast<size_t>(state.range(0)));
+    for (const auto& name : node.names)
+        node.quota.take(name);
+    for (auto _ : state) {
+        node.clock.advance(milliseconds(50));
+        node.quota.tick();
+        node.platform.deliver();
+    }
+}
+
+BENCHMARK(takeTokens)->Arg(8)->Arg(100)->Arg(10000)->Threads(1)->Threads(4)->Threads(8)->UseRealTime();
+BENCHMARK(tickIdle)->Arg(8)->Arg(10000);
+
+// --- Bounds -------------------------------------------------------------------------------------------------------
+
+// Short traces whose outcome is the same in every run.
+void checkBounds()
+{
+    const QuotaSettings settings;
+    const Trace even { "even entry", seconds(20) };
+    const Trace surge { "one account at 5x", seconds(20), 0, 5 };
+    const auto owner = TraceRun(even, "leased-owner", 16, settings, eightAccounts(1)).run();
+    const auto conserved = TraceRun(even, "conserved", 16, settings, eightAccounts(1)).run();
+    const auto surged = TraceRun(surge, "conserved", 16, settings, eightAccounts(1)).run();
+    const auto refused = static_cast<double>(conserved.refused) / static_cast<double>(conserved.owed);
+    fmt::print(
+        "even entry: refused {:.4f}, messages {:.1f}/s, busiest {:.1f}/s (leased owner {:.1f}/s); at 5x: {:.1f}/s\n",
+        refused, conserved.messages, conserved.busiest, owner.busiest, surged.messages);
+    require(conserved.excess <= 0 && surged.excess <= 0 && owner.excess <= 0, "excess over rate and burst");
+    require(refused <= 0.002, "in-rate requests refused at even entry: 1 in 500");
+    require(conserved.busiest <= 0.85 * owner.busiest, "busiest node: 0.85 of that of a leased owner");
+    require(surged.messages <= 2 * conserved.messages, "messages of an account at 5x: twice those of even entry");
+}
+
 } // namespace
 
+// usage: QuotaBench [bounds | traces | growth | settings | options of Google Benchmark ...]
 int main(int count, char** arguments)
 {
-    const std::string_view part = count > 1 ? arguments[1] : "traces";
-    if (part == "traces")
+    const std::string_view part = count > 1 ? arguments[1] : "bounds";
+    if (part == "bounds")
+        checkBounds();
+    else if (part == "traces")
         printTraces();
-    if (part == "growth")
+    else if (part == "growth")
         printGrowth();
-    if (part == "settings")
+    else if (part == "settings")
         printSettings();
+    else {
+        benchmark::Initialize(&count, arguments);
+        benchmark::RunSpecifiedBenchmarks();
+    }
     return failures ? 1 : 0;
 }
