--- a/tests/QuotaChangeTests.cpp
+++ b/tests/QuotaChangeTests.cpp
@@ -65,6 +65,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ThenTokensUnderWayCountAgainstTheHigherRate)
+{
+    QuotaWorld world(1, fourSlots(), declare({ { "owner", 20, 40, {} } }), 1);
+    world.run(seconds(20));
+    auto& quota = *world.nodes[0]->quota;
+    const auto takeAll = [&quota] {
+        std::vector<QuotaDecision> taken;
+        for (auto next = quota.take("owner"); next.answer == QuotaAnswer::Admitted; next = quota.take("owner"))
+            taken.push_back(next);
+        return taken;
+    };
+    // The whole burst is drawn from the slots, but nothing of it runs.
+    for (const auto& decision : takeAll())
+        quota.giveBack("owner", decision);
+    world.configure(0, declare({ { "owner", 200, 40, {} } }));
+    world.run(milliseconds(190));
+    BOOST_TEST(takeAll().size() <= 40u);
+}
+
 BOOST_AUTO_TEST_CASE(ThenAChangeOfItsSlotsAddsNoBurst)
 {
     // The burst decides how many slots there are: 1 or 4.
