--- a/tests/QuotaTests.cpp
+++ b/tests/QuotaTests.cpp
@@ -342,12 +342,12 @@
 
 BOOST_AUTO_TEST_CASE(ThenASlowHolderStopsBeforeAFastTakerStarts)
 {
-    // The taker reads the objects at different times after the holder's last renewals.
+    // The taker reads the objects while the holder makes its second round of renewals.
     for (uint64_t offset = 0; offset < 60; ++offset) {
         QuotaWorld world(2, shortTerms(), declare({ { "owner", 10, 20, {} } }), offset);
         world.nodes[0]->clock.runAt(0.99);
         world.nodes[1]->clock.runAt(1.01);
-        world.run(seconds(10) + static_cast<int64_t>(offset % 10) * milliseconds(100));
+        world.run(milliseconds(11500) + static_cast<int64_t>(offset % 10) * milliseconds(200));
         world.nodes[0]->side = 1;
         world.run(milliseconds(1800));
         world.nodes[0]->platform.cut = true;
