Read and check manifests, and cut them into sections by content

Cause: what operators declare had no reader.

Every problem is told at once with file, line, column and what to write instead. Section hashes are checked when sections are put together again.

Ruled out: [[account]] lists, since tables named [account.NAME] make a double name a syntax error; sections cut from the source text, since comments and order would change hashes of what did not change.

--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -16,6 +16,7 @@
     /// Requests that may come at once after a quiet time.
     double burst { 0 };
     std::vector<KeyDigest> keys;
+    bool operator==(const ClientAccount&) const = default;
 };
 
 /// Which requests go where, and what they are worth.
@@ -37,6 +38,7 @@
     uint32_t retries { 1 };
     /// Bytes.
     uint64_t bodyLimit { 1 << 20 };
+    bool operator==(const Route&) const = default;
 };
 
 /// A group of like backend servers.
@@ -50,6 +52,7 @@
     Duration slowStart { seconds(10) };
     /// Longest wait in the queue before a backend server.
     Duration queueLimit { milliseconds(100) };
+    bool operator==(const Service&) const = default;
 };
 
 /// What the policy weighs first under overload.
@@ -70,6 +73,7 @@
     Duration freshness { seconds(5) };
     /// How long an idempotency key is remembered.
     Duration duplicateMemory { std::chrono::minutes(10) };
+    bool operator==(const Policy&) const = default;
 };
 
 /// What a configuration is built from.
@@ -78,6 +82,7 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     Policy policy;
+    bool operator==(const Declarations&) const = default;
 };
 
 /// The declarations with their lookup tables, under a number that only grows.
--- /dev/null
+++ b/src/manifest/Manifest.h
@@ -0,0 +1,56 @@
+/// Reads and checks manifests: what operators declare, in TOML. The same code serves `vanillaridge check`,
+/// `vanillaridge apply` and the node, so what passes one passes all.
+///
+/// A manifest is also cut into sections, one for each account, route and service and one for the policy, known by the
+/// hash of their canonical text. A change of one account changes one small section.
+#pragma once
+
+#include "configuration/Configuration.h"
+#include "documents/Documents.h"
+
+namespace Vanillaridge {
+
+/// Greatest manifest that is read, in bytes: what the platform holds in one value.
+constexpr size_t manifestLimit = 1 << 20;
+
+using ManifestProblem = Problem;
+
+/// The declarations of a manifest, or every problem found in it.
+class ManifestResult {
+public:
+    ManifestResult(Declarations);
+    ManifestResult(std::vector<ManifestProblem>);
+
+    explicit operator bool() const { return m_problems.empty(); }
+    const Declarations& declarations() const { return m_declarations; }
+    /// Never empty when there are no declarations; in the order of their lines.
+    std::span<const ManifestProblem> problems() const { return m_problems; }
+
+private:
+    Declarations m_declarations;
+    std::vector<ManifestProblem> m_problems;
+};
+
+/// Reads and checks a manifest. The file name is only used in problems.
+ManifestResult checkManifest(std::string_view text, std::string_view fileName);
+
+/// One piece of a manifest in canonical form.
+struct ManifestSection {
+    /// Kind and name, such as "account/north".
+    std::string name;
+    /// stableHash of the text.
+    uint64_t hash { 0 };
+    std::string text;
+    bool operator==(const ManifestSection&) const = default;
+};
+
+/// The sections of checked declarations, in the order of their names.
+std::vector<ManifestSection> sectionsOf(const Declarations&);
+/// The sections of a manifest; none when it has problems.
+std::vector<ManifestSection> splitIntoSections(std::string_view text);
+/// Checks sections as one manifest again. A section whose hash is not that of its text is a problem.
+ManifestResult assembleSections(std::span<const ManifestSection>);
+/// One hash for all sections together, whatever their order.
+uint64_t contentHashOf(std::span<const ManifestSection>);
+
+} // namespace Vanillaridge
