Read and check one node's settings

Cause: a node had nothing to learn its addresses, zone, secret and limits from. The secret has a type that nothing prints.

Ruled out: host names as addresses (nodes talk by IP numbers); a default secret, since every fleet would share it.

--- a/src/documents/Documents.cpp
+++ b/src/documents/Documents.cpp
@@ -56,9 +56,9 @@
     std::string plainBound(double bound) { return fmt::format("{}", bound); }
     std::string timeBound(double bound)
     {
-        return quoted(toText(Duration(static_cast<Duration::rep>(std::llround(bound * 1e9)))));
+        return inQuotes(toText(Duration(static_cast<Duration::rep>(std::llround(bound * 1e9)))));
     }
-    std::string sizeBound(double bound) { return quoted(sizeToText(static_cast<uint64_t>(bound))); }
+    std::string sizeBound(double bound) { return inQuotes(sizeToText(static_cast<uint64_t>(bound))); }
 
     // Reports a value out of range; tells whether it was in range.
     bool checkRange(const TableReader& table, std::string_view name, Range range, double value, BoundWriter write)
@@ -299,7 +299,7 @@
 {
     auto sorted = m_parsed->problems;
     std::stable_sort(sorted.begin(), sorted.end(), [](const Problem& left, const Problem& right) {
-        return Place { left.line, left.column } < Place { right.line, right.column };
+        return std::pair(left.line, left.column) < std::pair(right.line, right.column);
     });
     return sorted;
 }
--- a/src/documents/Documents.h
+++ b/src/documents/Documents.h
@@ -18,7 +18,7 @@
 struct Place {
     uint32_t line { 1 };
     uint32_t column { 1 };
-    auto operator<=>(const Place&) const = default;
+    bool operator==(const Place&) const = default;
 };
 
 /// A fault in a document: where it is, what it is, and what to write instead.
@@ -35,6 +35,29 @@
 /// "file:line:column: what; write: instead".
 std::string toText(const Problem&);
 
+/// What a document says, or every problem found in it.
+template <typename Value> class Checked {
+public:
+    Checked(Value value)
+        : m_value(std::move(value))
+    {
+    }
+    Checked(std::vector<Problem> problems)
+        : m_problems(std::move(problems))
+    {
+    }
+
+    explicit operator bool() const { return m_problems.empty(); }
+    /// Only to be used when there are no problems.
+    const Value& value() const { return *m_value; }
+    /// Never empty when there is no value; in the order of their lines.
+    std::span<const Problem> problems() const { return m_problems; }
+
+private:
+    std::optional<Value> m_value;
+    std::vector<Problem> m_problems;
+};
+
 /// Why a file could not be read or written.
 struct FileError {
     std::string file;
@@ -194,7 +217,7 @@
 // --- Writing ------------------------------------------------------------------------------------------------------
 
 /// Text as a TOML string, with its quotes.
-std::string quoted(std::string_view);
+std::string inQuotes(std::string_view);
 std::string tomlValue(bool);
 std::string tomlValue(double);
 std::string tomlValue(uint32_t);
--- a/src/documents/Values.cpp
+++ b/src/documents/Values.cpp
@@ -136,7 +136,7 @@
     return nearest;
 }
 
-std::string quoted(std::string_view text)
+std::string inQuotes(std::string_view text)
 {
     std::string result = "\"";
     for (const char character : text) {
@@ -156,17 +156,17 @@
 
 std::string tomlValue(uint32_t value) { return fmt::format("{}", value); }
 
-std::string tomlValue(uint64_t bytes) { return quoted(sizeToText(bytes)); }
+std::string tomlValue(uint64_t bytes) { return inQuotes(sizeToText(bytes)); }
 
-std::string tomlValue(Duration value) { return quoted(toText(value)); }
+std::string tomlValue(Duration value) { return inQuotes(toText(value)); }
 
-std::string tomlValue(const std::string& value) { return quoted(value); }
+std::string tomlValue(const std::string& value) { return inQuotes(value); }
 
 std::string tomlValue(const std::vector<std::string>& values)
 {
     std::string text = "[";
     for (const auto& value : values)
-        text.append(text.size() > 1 ? ", " : "").append(quoted(value));
+        text.append(text.size() > 1 ? ", " : "").append(inQuotes(value));
     return text + "]";
 }
 
--- a/src/manifest/Checks.cpp
+++ b/src/manifest/Checks.cpp
@@ -26,7 +26,7 @@
     {
         const auto& name = read.row.name;
         if (name.empty() || name.size() > longestName || !std::all_of(name.begin(), name.end(), isNameCharacter))
-            read.table.report(read.table.place(), fmt::format("{} is not a fit name", quoted(name)),
+            read.table.report(read.table.place(), fmt::format("{} is not a fit name", inQuotes(name)),
                 "1 to 64 letters, digits, '-', '_' or '.'");
     }
 
@@ -45,8 +45,8 @@
         if (std::find(known.begin(), known.end(), name) != known.end())
             return;
         const auto nearest = nearestName(name, known);
-        table.report(place, fmt::format("unknown {} {}", kind, quoted(name)),
-            nearest ? quoted(*nearest) : fmt::format("the name of a [{}.NAME] of this manifest", kind));
+        table.report(place, fmt::format("unknown {} {}", kind, inQuotes(name)),
+            nearest ? inQuotes(*nearest) : fmt::format("the name of a [{}.NAME] of this manifest", kind));
     }
 
     void checkAccount(const ReadRow<ClientAccount>& read, std::map<KeyDigest, std::string>& owners)
@@ -65,7 +65,7 @@
             const auto [owner, added] = owners.emplace(account.keys[i], account.name);
             if (!added)
                 read.table.report(read.table.place("keys", i),
-                    fmt::format("this key digest already belongs to account {}", quoted(owner->second)),
+                    fmt::format("this key digest already belongs to account {}", inQuotes(owner->second)),
                     "a key of its own for each account, made by `vanillaridge keys`");
         }
     }
@@ -96,7 +96,7 @@
             table.report(table.place("path"), std::string(fault), "a path such as \"/reports/*\"");
         const auto isCapital = [](char character) { return character >= 'A' && character <= 'Z'; };
         if (!std::all_of(route.method.begin(), route.method.end(), isCapital))
-            table.report(table.place("method"), fmt::format("{} is no HTTP method", quoted(route.method)),
+            table.report(table.place("method"), fmt::format("{} is no HTTP method", inQuotes(route.method)),
                 "a method in capitals, such as \"GET\"; leave it out for any method");
         if (route.open && table.has("accounts"))
             table.report(table.place("open"), "a route open to all cannot name accounts",
@@ -118,7 +118,7 @@
             checkKnown("account", route.accounts[i], accounts, table, table.place("accounts", i));
             if (!seen.insert(route.accounts[i]).second)
                 table.report(table.place("accounts", i),
-                    fmt::format("account {} is named twice", quoted(route.accounts[i])), "each account once");
+                    fmt::format("account {} is named twice", inQuotes(route.accounts[i])), "each account once");
         }
         if (table.has("accounts") && route.accounts.empty())
             table.report(table.place("accounts"), "an empty list of accounts",
@@ -132,7 +132,7 @@
             const auto [first, added] = seen.emplace(std::pair(route.method, route.path), route.name);
             if (!added && !route.path.empty())
                 table.report(table.place("path"),
-                    fmt::format("same method and path as route {}", quoted(first->second)),
+                    fmt::format("same method and path as route {}", inQuotes(first->second)),
                     "a different method or path, or one route instead of two");
         }
     }
--- a/src/manifest/Manifest.cpp
+++ b/src/manifest/Manifest.cpp
@@ -47,7 +47,7 @@
         for (const auto& row : rows) {
             const std::string prefix(kind);
             sections.push_back(makeSection(
-                prefix + '/' + row.name, '[' + prefix + '.' + quoted(row.name) + "]\n" + writeFields(row, fields)));
+                prefix + '/' + row.name, '[' + prefix + '.' + inQuotes(row.name) + "]\n" + writeFields(row, fields)));
         }
     }
 
@@ -62,16 +62,6 @@
 
 } // namespace
 
-ManifestResult::ManifestResult(Declarations declarations)
-    : m_declarations(std::move(declarations))
-{
-}
-
-ManifestResult::ManifestResult(std::vector<ManifestProblem> problems)
-    : m_problems(std::move(problems))
-{
-}
-
 ManifestResult checkManifest(std::string_view text, std::string_view fileName)
 {
     // 1. Syntax. Without it, nothing further can be said.
@@ -128,7 +118,7 @@
     for (const auto& section : sections) {
         if (section.hash != stableHash(section.text))
             return std::vector<ManifestProblem> { { std::string(fileName), 1, 1,
-                "section " + quoted(section.name) + " does not match its hash", "the section as it was split" } };
+                "section " + inQuotes(section.name) + " does not match its hash", "the section as it was split" } };
         text.append(section.text).append("\n");
     }
     return checkManifest(text, fileName);
--- a/src/manifest/Manifest.h
+++ b/src/manifest/Manifest.h
@@ -16,19 +16,10 @@
 using ManifestProblem = Problem;
 
 /// The declarations of a manifest, or every problem found in it.
-class ManifestResult {
+class ManifestResult : public Checked<Declarations> {
 public:
-    ManifestResult(Declarations);
-    ManifestResult(std::vector<ManifestProblem>);
-
-    explicit operator bool() const { return m_problems.empty(); }
-    const Declarations& declarations() const { return m_declarations; }
-    /// Never empty when there are no declarations; in the order of their lines.
-    std::span<const ManifestProblem> problems() const { return m_problems; }
-
-private:
-    Declarations m_declarations;
-    std::vector<ManifestProblem> m_problems;
+    using Checked::Checked;
+    const Declarations& declarations() const { return value(); }
 };
 
 /// Reads and checks a manifest. The file name is only used in problems.
--- /dev/null
+++ b/src/settings/Settings.h
@@ -0,0 +1,128 @@
+/// One node's settings, read from a TOML file and checked in full before use.
+///
+/// What the whole fleet has in common stands in the manifest instead, so that it can change while nodes run.
+#pragma once
+
+#include "documents/Documents.h"
+
+namespace Vanillaridge {
+
+/// Greatest settings file that is read, in bytes.
+constexpr size_t settingsLimit = 1 << 20;
+
+/// A text that must not reach a log, a metric or a message. Nothing prints it; whoever needs it says so by name.
+class Secret {
+public:
+    Secret() = default;
+    explicit Secret(std::string text)
+        : m_text(std::move(text))
+    {
+    }
+    std::string_view reveal() const { return m_text; }
+    bool operator==(const Secret&) const = default;
+
+private:
+    std::string m_text;
+};
+
+enum class LogLevel : uint8_t { Error, Warning, Info, Debug };
+std::string_view toText(LogLevel);
+
+/// Where the node is reached, and by whom.
+struct AddressSettings {
+    /// Other nodes, over TCP and UDP; other nodes are told this very address.
+    Endpoint peers;
+    /// Callers' HTTP requests.
+    Endpoint callers;
+    /// The backend server beside the node: its announcements and outgoing calls. Loopback only.
+    Endpoint servers;
+    /// Metrics, readiness and status.
+    Endpoint operators;
+};
+
+/// Where the manifest comes from: the platform's object API, or one local file for a single instance.
+struct PlatformSettings {
+    /// "http://host:port"; empty when a local manifest is used.
+    std::string url;
+    /// A local manifest file; empty when the platform is used.
+    std::string manifest;
+    /// Longest wait for the answer to one call.
+    Duration timeout { seconds(2) };
+    /// This node's own limit on calls to the platform.
+    double callsPerSecond { 2 };
+    /// Calls that may be made at once after a quiet time.
+    double callBurst { 20 };
+};
+
+/// Bounds on what callers can make a node hold.
+struct LimitSettings {
+    /// Request line and headers, in bytes.
+    uint64_t headSize { 16 << 10 };
+    /// Body bytes buffered for one stream in each direction.
+    uint64_t streamMemory { 256 << 10 };
+    /// Connections open at once from callers and backend servers.
+    uint32_t connections { 4000 };
+    /// Time for a caller to send a whole head.
+    Duration headTimeout { seconds(10) };
+    /// Time for a caller to send or take the next piece of a body.
+    Duration bodyTimeout { seconds(10) };
+    /// How long a connection without a request is kept.
+    Duration idleTimeout { seconds(60) };
+    /// Longest time that a planned stop waits for running requests.
+    Duration drainLimit { seconds(60) };
+};
+
+/// How tokens are created and handed on.
+struct QuotaSettings {
+    /// Quota slots of the whole fleet; every node must name the same number.
+    uint32_t slots { 64 };
+    /// Term of a slot's lease.
+    Duration leaseTerm { std::chrono::minutes(10) };
+    /// How long before its end a holder stops using a lease.
+    Duration leaseMargin { seconds(5) };
+    /// Life of a token after it was asked for.
+    Duration validity { seconds(1) };
+};
+
+/// Timings of the membership protocol.
+struct MembershipSettings {
+    Duration probePeriod { seconds(1) };
+    /// How long to wait for the answer to a probe, before asking others to probe.
+    Duration probeTimeout { milliseconds(300) };
+    /// Members asked to probe one that did not answer.
+    uint32_t indirectProbes { 3 };
+    /// How long a suspected member has to prove itself.
+    Duration suspicion { seconds(4) };
+    /// How often a digest of all members is exchanged.
+    Duration digestPeriod { seconds(10) };
+    /// How long a dead member is remembered.
+    Duration deadMemory { std::chrono::minutes(10) };
+};
+
+/// Everything that one node is told when it starts.
+struct Settings {
+    AddressSettings addresses;
+    ZoneName zone;
+    /// Peer endpoints of some other nodes, tried beside those that the platform's directory names.
+    std::vector<Endpoint> contacts;
+    /// Authenticates nodes to each other. Never to be logged.
+    Secret secret;
+    uint32_t threads { 2 };
+    LogLevel logLevel { LogLevel::Info };
+    PlatformSettings platform;
+    LimitSettings limits;
+    QuotaSettings quota;
+    MembershipSettings membership;
+};
+
+using SettingsResult = Checked<Settings>;
+
+/// Reads and checks settings. Files that they name are taken relative to `folder`, and the secret's file is read.
+SettingsResult checkSettings(std::string_view text, std::string_view fileName, const std::string& folder = ".");
+/// Reads and checks a settings file; a file that cannot be read is a problem like any other.
+SettingsResult loadSettings(const std::string& path);
+
+/// Host and port of an "ip:port" or "[ip]:port" by number; nothing when it is malformed.
+std::optional<std::pair<std::string, uint16_t>> splitEndpoint(std::string_view);
+
+} // namespace Vanillaridge
