--- /dev/null
+++ b/src/http/Http.h
@@ -0,0 +1,177 @@
+/// HTTP/1.1 towards callers, backend servers and operators: a server whose exchanges stream bodies both ways, and
+/// calls to backend servers over pooled connections. It translates, and decides nothing about requests.
+///
+/// Everything of one exchange or call runs on one strand; several threads may run the io_context.
+#pragma once
+
+#include "messages/Messages.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace Vanillaridge {
+
+template <typename Value> using Task = boost::asio::awaitable<Value>;
+using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+/// What one server allows its callers.
+struct HttpLimits {
+    /// Bytes of request line and headers.
+    uint32_t headBytes { 16 * 1024 };
+    /// From the first byte of a request to the end of its head.
+    Duration headTimeout { seconds(5) };
+    /// Longest wait for the next piece of a body, and for the other side to take one.
+    Duration pieceTimeout { seconds(10) };
+    /// How long a connection may lie idle between requests.
+    Duration idleTimeout { seconds(75) };
+    /// Connections open at once; further ones are closed at once.
+    size_t connections { 4096 };
+};
+
+/// Largest piece of a body handled at once.
+constexpr size_t bodyPieceBytes = 16 * 1024;
+
+/// Request line and headers, as sent or received.
+struct RequestHead {
+    std::string method;
+    std::string target;
+    std::vector<HeaderField> headers;
+    bool hasBody { false };
+    /// Absent for a body whose length is not known beforehand.
+    std::optional<uint64_t> contentLength;
+
+    /// First header of that name, compared without case; empty when there is none.
+    std::string_view header(std::string_view name) const;
+    /// The target up to its query.
+    std::string_view path() const;
+};
+
+/// Status line and headers, as sent or received.
+struct ReplyHead {
+    uint16_t status { 200 };
+    std::vector<HeaderField> headers;
+    bool hasBody { false };
+    std::optional<uint64_t> contentLength;
+};
+
+/// A whole small reply.
+struct SimpleReply {
+    uint16_t status { 200 };
+    std::vector<HeaderField> headers;
+    std::string body;
+};
+
+/// How reading the next piece of a body ended.
+enum class BodyEnd : uint8_t { More, Last, Cut, TooSlow };
+
+struct BodyPiece {
+    std::string bytes;
+    BodyEnd end { BodyEnd::More };
+};
+
+/// Compares header names without case.
+bool sameHeader(std::string_view, std::string_view);
+
+/// One request on a connection, and the reply to it. To be used on its own strand only.
+class HttpExchange {
+public:
+    struct Implementation;
+    explicit HttpExchange(std::unique_ptr<Implementation>);
+    ~HttpExchange();
+
+    const RequestHead& head() const;
+    const Strand& strand() const;
+
+    /// The next piece of the request's body, at most bodyPieceBytes long.
+    Task<BodyPiece> readBody();
+    bool bodyFinished() const;
+
+    /// Writes the reply's head. False when the caller cannot be reached any more.
+    Task<bool> writeHead(ReplyHead);
+    Task<bool> writeBody(std::string_view bytes, bool last);
+    /// Writes a whole reply.
+    Task<bool> reply(SimpleReply);
+    bool replyStarted() const;
+
+    /// Calls back once, on the strand, if the caller's side of the connection ends before the exchange does.
+    /// To be called when the request's body has been read.
+    void onCallerGone(std::function<void()>);
+
+    /// Breaks the connection off, so that a reply under way is seen to be cut short.
+    void abort();
+
+private:
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+/// What a server does with requests. One object serves many exchanges at once.
+class HttpHandler {
+public:
+    virtual ~HttpHandler() = default;
+    /// Serves one exchange. An exchange left without a whole reply is broken off.
+    virtual Task<void> serve(std::shared_ptr<HttpExchange>) = 0;
+    /// The reply to something that could not be read as a request.
+    virtual SimpleReply rejection(Reason) = 0;
+};
+
+/// Why a server could not be started.
+enum class HttpError : uint8_t { BadEndpoint, AddressInUse, Other };
+
+/// Listens on one endpoint.
+class HttpServer {
+public:
+    HttpServer(boost::asio::io_context&, HttpLimits, HttpHandler&);
+    ~HttpServer();
+
+    /// Binds and starts to accept; nothing when it worked.
+    std::optional<HttpError> listen(const Endpoint&);
+    /// Where it listens; of use when the port was given as 0.
+    Endpoint endpoint() const;
+    /// Takes no new connections, and closes each one after the exchange it is in.
+    void drain();
+    /// Connections open now.
+    size_t connections() const;
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+/// One request to a backend server. To be used on the strand it was made with.
+class BackendCall {
+public:
+    struct Implementation;
+    explicit BackendCall(std::unique_ptr<Implementation>);
+    ~BackendCall();
+
+    Task<bool> writeHead(RequestHead);
+    Task<bool> writeBody(std::string_view bytes, bool last);
+    /// The answer's head; nothing when the connection ended before it came.
+    Task<std::optional<ReplyHead>> readHead();
+    Task<BodyPiece> readBody();
+
+    /// Closes the connection, which tells the backend server that the answer is no longer wanted. Reads and writes
+    /// under way end.
+    void abort();
+
+private:
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+/// Connections to backend servers, kept for a short while between calls.
+class BackendPool {
+public:
+    struct Implementation;
+    explicit BackendPool(boost::asio::io_context&);
+    ~BackendPool();
+
+    /// A connection on the given strand: an idle one that answered a moment ago, or a new one. Null when the backend
+    /// server took no connection within the patience: nothing has been sent to it then.
+    Task<std::shared_ptr<BackendCall>> connect(Endpoint, Strand, Duration patience);
+
+private:
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/http/HttpMessages.cpp
@@ -0,0 +1,64 @@
+#include "http/HttpMessages.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // Headers that belong to one connection, or that are set anew for each one.
+    constexpr std::array<std::string_view, 10> hopByHopHeaders { "connection", "keep-alive", "proxy-connection",
+        "proxy-authenticate", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect" };
+
+} // namespace
+
+bool sameHeader(std::string_view left, std::string_view right) { return beast::iequals(left, right); }
+
+std::string_view RequestHead::header(std::string_view name) const
+{
+    const auto found
+        = std::find_if(headers.begin(), headers.end(), [&](const auto& field) { return sameHeader(field.name, name); });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+std::string_view RequestHead::path() const { return std::string_view(target).substr(0, target.find('?')); }
+
+std::optional<Tcp::endpoint> tcpEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    auto host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']'))
+        host = host.substr(1, host.size() - 2);
+    ErrorCode error;
+    const auto address = boost::asio::ip::make_address(host, error);
+    uint16_t port = 0;
+    const auto [stop, badPort] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (error || badPort != std::errc() || stop != text.data() + text.size())
+        return std::nullopt;
+    return Tcp::endpoint(address, port);
+}
+
+bool isHopByHop(std::string_view name)
+{
+    return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(),
+        [&](std::string_view hopByHop) { return sameHeader(hopByHop, name); });
+}
+
+// Headers that the Connection header names belong to the connection as well.
+std::vector<HeaderField> endToEndHeaders(const http::fields& fields)
+{
+    http::token_list named(fields[http::field::connection]);
+    std::vector<HeaderField> headers;
+    for (const auto& field : fields) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (isHopByHop(name) || named.exists(field.name_string()))
+            continue;
+        headers.push_back({ std::string(name), std::string(field.value()) });
+    }
+    return headers;
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,453 @@
+#include "http/HttpMessages.h"
+
+#include <atomic>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <mutex>
+#include <set>
+
+namespace Vanillaridge {
+
+namespace {
+
+    using Request = http::request_parser<http::buffer_body>;
+    using Response = http::response<http::buffer_body>;
+    using ResponseSerializer = http::response_serializer<http::buffer_body>;
+
+    constexpr Duration acceptPause = milliseconds(50);
+    constexpr Duration lingerLimit = seconds(1);
+    constexpr size_t lingerBytes = 256 * 1024;
+
+    // A status that never has a body, whatever the headers say.
+    bool isBodiless(uint16_t status) { return status == 204 || status == 304 || status < 200; }
+
+    RequestHead headOf(Request& parser)
+    {
+        const auto& message = parser.get();
+        RequestHead head;
+        head.method = std::string(message.method_string());
+        head.target = std::string(message.target());
+        head.headers = endToEndHeaders(message);
+        if (const auto length = parser.content_length())
+            head.contentLength = *length;
+        head.hasBody = parser.chunked() || head.contentLength.value_or(0) > 0;
+        return head;
+    }
+
+} // namespace
+
+// --- One connection -------------------------------------------------------------------------------------------------
+
+namespace {
+
+    // Socket and buffer outlive each exchange on the connection.
+    struct Connection {
+        Connection(Strand strand, TcpSocket socket, HttpLimits limits)
+            : strand(strand)
+            , stream(std::move(socket))
+            , buffer(limits.headBytes + bodyPieceBytes)
+            , limits(limits)
+        {
+        }
+
+        Strand strand;
+        TcpStream stream;
+        beast::flat_buffer buffer;
+        HttpLimits limits;
+        std::atomic<bool> closing { false };
+    };
+
+} // namespace
+
+struct HttpExchange::Implementation {
+    Implementation(std::shared_ptr<Connection> connection, std::unique_ptr<Request> parser)
+        : connection(std::move(connection))
+        , parser(std::move(parser))
+        , head(headOf(*this->parser))
+        , expectsContinue(beast::iequals(this->parser->get()[http::field::expect], "100-continue"))
+    {
+    }
+
+    // A caller that waits for leave to send its body is given it when the body is first wanted.
+    Task<void> allowBody()
+    {
+        expectsContinue = false;
+        http::response<http::empty_body> interim(http::status::continue_, 11);
+        ErrorCode error;
+        co_await http::async_write(connection->stream, interim, redirect_error(use_awaitable, error));
+    }
+
+    void close()
+    {
+        ErrorCode ignored;
+        connection->closing = true;
+        connection->stream.socket().close(ignored);
+    }
+
+    std::shared_ptr<Connection> connection;
+    std::unique_ptr<Request> parser;
+    RequestHead head;
+    bool expectsContinue;
+    Response response;
+    std::optional<ResponseSerializer> serializer;
+    std::optional<uint64_t> bytesToWrite;
+    bool finished { false };
+    bool watching { false };
+    boost::asio::cancellation_signal stopWatching;
+};
+
+HttpExchange::HttpExchange(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{
+}
+
+HttpExchange::~HttpExchange() = default;
+
+const RequestHead& HttpExchange::head() const { return m_implementation->head; }
+
+const Strand& HttpExchange::strand() const { return m_implementation->connection->strand; }
+
+Task<BodyPiece> HttpExchange::readBody()
+{
+    auto& self = *m_implementation;
+    if (self.expectsContinue && !self.parser->is_done())
+        co_await self.allowBody();
+    co_return co_await readPiece(
+        self.connection->stream, self.connection->buffer, *self.parser, self.connection->limits.pieceTimeout);
+}
+
+bool HttpExchange::bodyFinished() const { return m_implementation->parser->is_done(); }
+
+Task<bool> HttpExchange::writeHead(ReplyHead head)
+{
+    auto& self = *m_implementation;
+    auto& connection = *self.connection;
+
+    // 1. A connection whose request was not read to its end cannot carry another one.
+    const bool keepAlive = self.parser->keep_alive() && self.parser->is_done() && !connection.closing;
+
+    // 2. The head, with the body's framing.
+    const bool bodiless = isBodiless(head.status) || self.parser->get().method() == http::verb::head;
+    self.response.result(head.status);
+    self.response.version(self.parser->get().version());
+    setHeaders(self.response, head.headers, head.hasBody && !bodiless, head.contentLength);
+    if (!head.hasBody && !head.contentLength && !isBodiless(head.status))
+        self.response.content_length(0);
+    if (head.hasBody && !bodiless && !head.contentLength && self.response.version() < 11)
+        self.response.chunked(false);
+    self.response.keep_alive(keepAlive && !(self.response.need_eof()));
+    connection.closing = connection.closing || !self.response.keep_alive();
+    self.bytesToWrite = bodiless ? std::optional<uint64_t>(0) : head.contentLength;
+
+    // 3. Written without waiting for the body.
+    self.response.body().data = nullptr;
+    self.response.body().more = head.hasBody && !bodiless;
+    self.serializer.emplace(self.response);
+    connection.stream.expires_after(connection.limits.pieceTimeout);
+    ErrorCode error;
+    co_await http::async_write_header(connection.stream, *self.serializer, redirect_error(use_awaitable, error));
+    if (!head.hasBody || bodiless)
+        self.finished = true;
+    co_return !error;
+}
+
+Task<bool> HttpExchange::writeBody(std::string_view bytes, bool last)
+{
+    auto& self = *m_implementation;
+    if (self.finished)
+        co_return true;
+
+    // 1. More or less than was announced must not look like a whole answer.
+    if (self.bytesToWrite) {
+        if (bytes.size() > *self.bytesToWrite || (last && bytes.size() < *self.bytesToWrite)) {
+            self.close();
+            co_return false;
+        }
+        *self.bytesToWrite -= bytes.size();
+    }
+
+    // 2. An empty piece says something only when it is the last.
+    if (bytes.empty() && !last)
+        co_return true;
+    const bool written = co_await writePiece(
+        self.connection->stream, self.response, *self.serializer, bytes, last, self.connection->limits.pieceTimeout);
+    self.finished = written && last;
+    co_return written;
+}
+
+Task<bool> HttpExchange::reply(SimpleReply reply)
+{
+    ReplyHead head { reply.status, std::move(reply.headers), !reply.body.empty(), reply.body.size() };
+    if (!co_await writeHead(std::move(head)))
+        co_return false;
+    co_return co_await writeBody(reply.body, true);
+}
+
+bool HttpExchange::replyStarted() const { return m_implementation->serializer.has_value(); }
+
+namespace {
+
+    // Tells whether the other side has closed: readable without a byte to read.
+    bool isClosedByPeer(TcpSocket& socket)
+    {
+        char byte;
+        const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+
+} // namespace
+
+void HttpExchange::onCallerGone(std::function<void()> callback)
+{
+    auto& self = *m_implementation;
+    if (self.watching || self.connection->buffer.size() > 0)
+        return;
+    self.watching = true;
+    auto& socket = self.connection->stream.socket();
+    socket.async_wait(boost::asio::socket_base::wait_read,
+        boost::asio::bind_cancellation_slot(self.stopWatching.slot(),
+            [connection = self.connection, callback = std::move(callback)](const ErrorCode& error) {
+                if (error != boost::asio::error::operation_aborted && isClosedByPeer(connection->stream.socket()))
+                    callback();
+            }));
+}
+
+void HttpExchange::abort() { m_implementation->close(); }
+
+// --- The server -----------------------------------------------------------------------------------------------------
+
+struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
+    Implementation(boost::asio::io_context& context, HttpLimits limits, HttpHandler& handler)
+        : context(context)
+        , limits(limits)
+        , handler(handler)
+        , acceptor(boost::asio::make_strand(context))
+    {
+    }
+
+    Task<void> accept();
+    Task<void> serve(std::shared_ptr<Connection>);
+    Task<bool> serveOne(std::shared_ptr<Connection>);
+    Task<bool> awaitRequest(Connection&);
+    Task<void> reject(Connection&, ErrorCode);
+    Task<void> linger(Connection&);
+
+    void add(const std::shared_ptr<Connection>& connection)
+    {
+        std::lock_guard guard(lock);
+        connections.insert(connection);
+    }
+
+    void remove(const std::shared_ptr<Connection>& connection)
+    {
+        std::lock_guard guard(lock);
+        connections.erase(connection);
+    }
+
+    size_t count()
+    {
+        std::lock_guard guard(lock);
+        return connections.size();
+    }
+
+    boost::asio::io_context& context;
+    HttpLimits limits;
+    HttpHandler& handler;
+    boost::asio::basic_socket_acceptor<Tcp, Strand> acceptor;
+    std::atomic<bool> draining { false };
+    std::mutex lock;
+    std::set<std::shared_ptr<Connection>> connections;
+};
+
+// Takes connections until the acceptor is closed. A failed accept (no descriptor left, say) must not end it, nor may
+// it be tried again without a pause.
+Task<void> HttpServer::Implementation::accept()
+{
+    const auto self = shared_from_this();
+    boost::asio::steady_timer pause(acceptor.get_executor());
+    while (!draining) {
+        const auto strand = boost::asio::make_strand(context);
+        TcpSocket socket(strand);
+        ErrorCode error;
+        co_await acceptor.async_accept(socket, redirect_error(use_awaitable, error));
+        if (error == boost::asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(redirect_error(use_awaitable, error));
+            continue;
+        }
+        if (count() >= limits.connections)
+            continue;
+        socket.set_option(Tcp::no_delay(true), error);
+        auto connection = std::make_shared<Connection>(strand, std::move(socket), limits);
+        add(connection);
+        boost::asio::co_spawn(strand, serve(connection), boost::asio::detached);
+    }
+}
+
+Task<void> HttpServer::Implementation::serve(std::shared_ptr<Connection> connection)
+{
+    const auto self = shared_from_this();
+    try {
+        while (co_await serveOne(connection)) { }
+    } catch (const std::exception&) {
+        // A handler that fails leaves its caller without an answer: the connection is closed below.
+    }
+    co_await linger(*connection);
+    connection->stream.close();
+    remove(connection);
+}
+
+// Closing with unread bytes would reset the connection and could destroy a reply on its way, so what the caller is
+// still sending is read and dropped for a while.
+Task<void> HttpServer::Implementation::linger(Connection& connection)
+{
+    ErrorCode error;
+    connection.stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    std::vector<char> dropped(bodyPieceBytes);
+    connection.stream.expires_after(lingerLimit);
+    for (size_t total = 0; !error && total < lingerBytes;) {
+        total += co_await connection.stream.async_read_some(
+            boost::asio::buffer(dropped), redirect_error(use_awaitable, error));
+    }
+}
+
+// Waits for the first byte of the next request, which may already be there.
+Task<bool> HttpServer::Implementation::awaitRequest(Connection& connection)
+{
+    if (connection.buffer.size())
+        co_return true;
+    if (draining || connection.closing)
+        co_return false;
+    connection.stream.expires_after(limits.idleTimeout);
+    ErrorCode error;
+    const auto read = co_await connection.stream.async_read_some(
+        connection.buffer.prepare(bodyPieceBytes), redirect_error(use_awaitable, error));
+    connection.buffer.commit(read);
+    co_return !error;
+}
+
+Task<bool> HttpServer::Implementation::serveOne(std::shared_ptr<Connection> connection)
+{
+    // 1. The head.
+    if (!co_await awaitRequest(*connection))
+        co_return false;
+    auto parser = std::make_unique<Request>();
+    parser->header_limit(limits.headBytes);
+    parser->body_limit(boost::none);
+    connection->stream.expires_after(limits.headTimeout);
+    ErrorCode error;
+    co_await http::async_read_header(
+        connection->stream, connection->buffer, *parser, redirect_error(use_awaitable, error));
+    if (error) {
+        co_await reject(*connection, error);
+        co_return false;
+    }
+
+    // 2. The exchange. Its own reads and writes set their own time limits.
+    connection->stream.expires_never();
+    auto state = std::make_unique<HttpExchange::Implementation>(connection, std::move(parser));
+    auto& exchangeState = *state;
+    const auto exchange = std::make_shared<HttpExchange>(std::move(state));
+    co_await handler.serve(exchange);
+    exchangeState.stopWatching.emit(boost::asio::cancellation_type::all);
+
+    // 3. The connection goes on only after a whole request and a whole reply.
+    if (!exchangeState.finished) {
+        exchange->abort();
+        co_return false;
+    }
+    co_return !connection->closing && exchangeState.parser->is_done();
+}
+
+namespace {
+
+    // What the parser's failure means to the caller; nothing when the caller is simply gone.
+    Reason reasonOf(ErrorCode error)
+    {
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return Reason::HeadTooLarge;
+        if (error == beast::error::timeout)
+            return Reason::SlowCaller;
+        if (error == http::error::end_of_stream)
+            return Reason::None;
+        if (error.category() == http::make_error_code(http::error::bad_method).category())
+            return Reason::BadRequest;
+        return Reason::None;
+    }
+
+} // namespace
+
+Task<void> HttpServer::Implementation::reject(Connection& connection, ErrorCode error)
+{
+    const Reason reason = reasonOf(error);
+    if (reason == Reason::None)
+        co_return;
+    auto reply = handler.rejection(reason);
+    http::response<http::string_body> response(http::int_to_status(reply.status), 11);
+    response.body() = std::move(reply.body);
+    setHeaders(response, reply.headers, true, response.body().size());
+    response.keep_alive(false);
+    connection.stream.expires_after(limits.pieceTimeout);
+    ErrorCode ignored;
+    co_await http::async_write(connection.stream, response, redirect_error(use_awaitable, ignored));
+}
+
+HttpServer::HttpServer(boost::asio::io_context& context, HttpLimits limits, HttpHandler& handler)
+    : m_implementation(std::make_shared<Implementation>(context, limits, handler))
+{
+}
+
+HttpServer::~HttpServer() { drain(); }
+
+std::optional<HttpError> HttpServer::listen(const Endpoint& endpoint)
+{
+    const auto address = tcpEndpoint(endpoint);
+    if (!address)
+        return HttpError::BadEndpoint;
+    auto& acceptor = m_implementation->acceptor;
+    ErrorCode error;
+    acceptor.open(address->protocol(), error);
+    if (!error)
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*address, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return error == boost::asio::error::address_in_use ? HttpError::AddressInUse : HttpError::Other;
+    boost::asio::co_spawn(acceptor.get_executor(), m_implementation->accept(), boost::asio::detached);
+    return std::nullopt;
+}
+
+Endpoint HttpServer::endpoint() const
+{
+    ErrorCode ignored;
+    const auto local = m_implementation->acceptor.local_endpoint(ignored);
+    return local.address().to_string() + ":" + std::to_string(local.port());
+}
+
+void HttpServer::drain()
+{
+    if (m_implementation->draining.exchange(true))
+        return;
+
+    // 1. No new connections.
+    boost::asio::post(m_implementation->acceptor.get_executor(), [self = m_implementation] {
+        ErrorCode ignored;
+        self->acceptor.close(ignored);
+    });
+
+    // 2. The others end after their exchange; idle ones at once.
+    std::lock_guard guard(m_implementation->lock);
+    for (const auto& connection : m_implementation->connections)
+        connection->closing = true;
+}
+
+size_t HttpServer::connections() const { return m_implementation->count(); }
+
+} // namespace Vanillaridge
