--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -116,6 +116,38 @@
     VerdictKind kind { VerdictKind::Unknown };
 };
 
+// --- Connections (over TCP) ---------------------------------------------------------------------------------------
+
+/// Random bytes that make the keys of one connection differ from those of every other.
+using Nonce = std::array<uint8_t, 16>;
+
+/// First message of each side on a new connection, sent at once and without waiting for the other's.
+struct Hello {
+    Endpoint endpoint;
+    BootId boot;
+    Nonce nonce {};
+    /// What the sender is able to speak; both sides must name the same.
+    uint32_t protocol { 0 };
+};
+
+/// Second message of each side, sent under the connection's own keys once the other's Hello has come. It proves that
+/// the sender lives now and knows the shared secret, and ties its clock to the receiver's.
+struct Ready {
+    /// The sender's BootClock when it sent this.
+    Duration sentAt { 0 };
+};
+
+/// Asks for a Pong, so that a silent connection is noticed.
+struct Ping {
+    uint64_t sequence { 0 };
+    /// The sender's BootClock when it sent this.
+    Duration sentAt { 0 };
+};
+
+struct Pong {
+    uint64_t sequence { 0 };
+};
+
 // --- Rates (over TCP) ---------------------------------------------------------------------------------------------
 
 /// Asks for tokens of an account. Each pull is answered once and applied once.
@@ -244,6 +276,10 @@
 using ControlMessage = std::variant<QuotaPull, QuotaGrant, Probe, ProbeAcknowledgement, MemberDigest, MemberBuckets,
     SectionListRequest, SectionList, SectionRequest, SectionReply>;
 
+/// Messages on a connection between two nodes. Order is part of the protocol: append only.
+using StreamMessage = std::variant<Hello, Ready, Ping, Pong, OpenRequest, AnswerHead, Refusal, BodyChunk, BodyCredit,
+    CancelRequest, VerdictQuery, VerdictReply, ControlMessage>;
+
 /// Whether a message goes as one datagram; the others go over a connection.
 bool isDatagram(const ControlMessage&);
 
