Declare admission, placement and retry

Cause: the request path needs their signatures before their insides. Ruled out: finished() without the service, which would need an index of attempts beside the gates' own tables. Before: no overload control. After: headers that compile, without behaviour. Conclusion: the request path can be written against them.

--- /dev/null
+++ b/src/admission/Admission.cpp
@@ -0,0 +1,1 @@
+#include "admission/Admission.h"
--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -53,6 +53,8 @@
     Sharded<NodeId, MemberRecord> members;
     Sharded<ServiceName, ServerGroup> servers;
     Sharded<ServiceName, LocalServerRecord> localServers;
+    Sharded<FlowKey, ShedRecord> shedRecords;
+    Sharded<RouteName, RouteCallsRecord> routeCalls;
     Sharded<RequestId, EntryRecord> entries;
     Sharded<AttemptId, AttemptRecord> attempts;
     ConfigurationFacts configuration;
@@ -76,6 +78,10 @@
 
 Sharded<ServiceName, LocalServerRecord>& Board::localServers() { return m_facts->localServers; }
 
+Sharded<FlowKey, ShedRecord>& Board::shedRecords() { return m_facts->shedRecords; }
+
+Sharded<RouteName, RouteCallsRecord>& Board::routeCalls() { return m_facts->routeCalls; }
+
 Sharded<RequestId, EntryRecord>& Board::entries() { return m_facts->entries; }
 
 Sharded<AttemptId, AttemptRecord>& Board::attempts() { return m_facts->attempts; }
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -78,6 +78,9 @@
     Sharded<ServiceName, ServerGroup>& servers();
     /// Backend servers that announced themselves here, by service.
     Sharded<ServiceName, LocalServerRecord>& localServers();
+    /// Shed levels told by answers, by route and account.
+    Sharded<FlowKey, ShedRecord>& shedRecords();
+    Sharded<RouteName, RouteCallsRecord>& routeCalls();
     Sharded<RequestId, EntryRecord>& entries();
     Sharded<AttemptId, AttemptRecord>& attempts();
     ConfigurationFacts& configuration();
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -41,6 +41,8 @@
     /// Failures in a row, and until when the server is set aside for them.
     uint32_t failures { 0 };
     Instant setAsideUntil;
+    /// Times it has been set aside since it last did well.
+    uint32_t setAsides { 0 };
 };
 
 using ServerGroup = std::map<NodeId, ServerRecord>;
@@ -53,6 +55,27 @@
     Duration term { 0 };
 };
 
+// --- Load further down --------------------------------------------------------------------------------------------
+
+/// Requests that share a shed level: those of one account on one route.
+struct FlowKey {
+    RouteName route;
+    AccountName account;
+    auto operator<=>(const FlowKey&) const = default;
+};
+
+/// The shed level that answers to a flow's requests have told, smoothed over the servers they came from.
+struct ShedRecord {
+    double level { 0 };
+    Instant at;
+};
+
+/// Which routes the requests of one route go on to call, counted with decay.
+struct RouteCallsRecord {
+    double requests { 0 };
+    std::map<RouteName, double> calls;
+};
+
 // --- Running requests ---------------------------------------------------------------------------------------------
 
 /// A request that entered here and has no answer yet.
@@ -61,7 +84,12 @@
     Instant deadline;
     /// The request whose backend server made this call; nothing for a caller's.
     std::optional<RequestId> parent;
+    /// Retries spent so far, here and by calls further down.
     uint32_t retriesUsed { 0 };
+    /// Of those, the ones that the latest attempt spent further down.
+    uint32_t retriesBelow { 0 };
+    /// Tries after the first made here.
+    uint32_t retriesHere { 0 };
 };
 
 enum class AttemptState : uint8_t { Waiting, Started, Finished, Barred };
@@ -91,6 +119,12 @@
 
 } // namespace Vanillaridge
 
+template <> struct std::hash<Vanillaridge::FlowKey> {
+    size_t operator()(const Vanillaridge::FlowKey& key) const noexcept
+    {
+        return Vanillaridge::mixHash(std::hash<std::string>()(key.route), std::hash<std::string>()(key.account));
+    }
+};
 template <> struct std::hash<Vanillaridge::ServerKey> {
     size_t operator()(const Vanillaridge::ServerKey& key) const noexcept
     {
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -25,8 +25,8 @@
     uint32_t waiting { 0 };
     /// Requests it lets run at once at present.
     uint32_t limit { 0 };
-    /// What is shed, from 0 (nothing) to importanceCount (everything): classes in whole steps, the rest by request
-    /// hash.
+    /// What is shed of the requests of the account that this is sent to, from 0 (nothing) to importanceCount
+    /// (everything): classes in whole steps, the rest by request hash.
     double shedLevel { 0 };
     /// Smoothed time that a request spends at the backend server.
     Duration serviceTime { 0 };
@@ -52,6 +52,8 @@
     uint32_t depth { 1 };
     /// The same for all calls that one caller's request causes, so that whole requests are shed together.
     uint64_t treeHash { 0 };
+    /// Requests that this one stands for: itself, and those like it that were shed on the way here.
+    double represents { 1 };
 };
 
 /// Opens a stream: a request for the backend server beside the receiver.
--- /dev/null
+++ b/src/placement/Placement.cpp
@@ -0,0 +1,1 @@
+#include "placement/Placement.h"
--- /dev/null
+++ b/src/retry/Retry.cpp
@@ -0,0 +1,1 @@
+#include "retry/Retry.h"
