--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -25,8 +25,8 @@
     uint32_t waiting { 0 };
     /// Requests it lets run at once at present.
     uint32_t limit { 0 };
-    /// What is shed, from 0 (nothing) to importanceCount (everything): classes in whole steps, the rest by request
-    /// hash.
+    /// What is shed of the requests of the account that this is sent to, from 0 (nothing) to importanceCount
+    /// (everything): classes in whole steps, the rest by request hash.
     double shedLevel { 0 };
     /// Smoothed time that a request spends at the backend server.
     Duration serviceTime { 0 };
@@ -52,6 +52,8 @@
     uint32_t depth { 1 };
     /// The same for all calls that one caller's request causes, so that whole requests are shed together.
     uint64_t treeHash { 0 };
+    /// Requests that this one stands for: itself, and those like it that were shed on the way here.
+    double represents { 1 };
 };
 
 /// Opens a stream: a request for the backend server beside the receiver.
@@ -116,12 +118,49 @@
     VerdictKind kind { VerdictKind::Unknown };
 };
 
+// --- Connections (over TCP) ---------------------------------------------------------------------------------------
+
+/// Random bytes that make the keys of one connection differ from those of every other.
+using Nonce = std::array<uint8_t, 16>;
+
+/// First message of each side on a new connection, sent at once and without waiting for the other's.
+struct Hello {
+    Endpoint endpoint;
+    BootId boot;
+    Nonce nonce {};
+    /// What the sender is able to speak; both sides must name the same.
+    uint32_t protocol { 0 };
+};
+
+/// Second message of each side, sent under the connection's own keys once the other's Hello has come. It proves that
+/// the sender lives now and knows the shared secret, and ties its clock to the receiver's.
+struct Ready {
+    /// The sender's BootClock when it sent this.
+    Duration sentAt { 0 };
+};
+
+/// Asks for a Pong, so that a silent connection is noticed.
+struct Ping {
+    uint64_t sequence { 0 };
+    /// The sender's BootClock when it sent this.
+    Duration sentAt { 0 };
+};
+
+struct Pong {
+    uint64_t sequence { 0 };
+};
+
 // --- Rates (over TCP) ---------------------------------------------------------------------------------------------
 
-/// Asks for tokens of an account. Each pull is answered once and applied once.
+/// In place of a quota slot: the pull goes to the account's home, which passes on what it has pooled.
+constexpr uint32_t homeSlot = UINT32_MAX;
+
+/// Asks for tokens of an account. Each pull is answered at most once, and its answer applied at most once.
 struct QuotaPull {
     uint64_t pull { 0 };
     AccountName account;
+    /// The slot that is to give them, or homeSlot.
+    uint32_t slot { homeSlot };
     double wanted { 0 };
     /// Configuration number whose rate the asker goes by.
     uint64_t configuration { 0 };
@@ -244,6 +283,10 @@
 using ControlMessage = std::variant<QuotaPull, QuotaGrant, Probe, ProbeAcknowledgement, MemberDigest, MemberBuckets,
     SectionListRequest, SectionList, SectionRequest, SectionReply>;
 
+/// Messages on a connection between two nodes. Order is part of the protocol: append only.
+using StreamMessage = std::variant<Hello, Ready, Ping, Pong, OpenRequest, AnswerHead, Refusal, BodyChunk, BodyCredit,
+    CancelRequest, VerdictQuery, VerdictReply, ControlMessage>;
+
 /// Whether a message goes as one datagram; the others go over a connection.
 bool isDatagram(const ControlMessage&);
 
