--- a/src/board/Counters.cpp
+++ b/src/board/Counters.cpp
@@ -29,6 +29,8 @@
         { Counter::PeerMessagesForged, "peer_messages_forged", "messages dropped because their MAC was wrong" },
         { Counter::PeerConnectionsOpened, "peer_connections_opened", "connections opened to other nodes" },
         { Counter::PeerConnectionsLost, "peer_connections_lost", "connections to other nodes that failed" },
+        { Counter::ControlBytesSent, "control_bytes_sent", "bytes of datagrams sent to other nodes" },
+        { Counter::ControlBytesReceived, "control_bytes_received", "bytes of datagrams received from other nodes" },
         { Counter::QuotaPulls, "quota_pulls", "requests for tokens sent to other nodes" },
         { Counter::QuotaTokensCreated, "quota_tokens_created", "tokens created by quota slots held here" },
         { Counter::QuotaTokensExpired, "quota_tokens_expired", "tokens that expired unused" },
--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -26,6 +26,8 @@
     PeerMessagesForged,
     PeerConnectionsOpened,
     PeerConnectionsLost,
+    ControlBytesSent,
+    ControlBytesReceived,
     // Quota.
     QuotaPulls,
     QuotaTokensCreated,
--- /dev/null
+++ b/src/entry/Entry.h
@@ -0,0 +1,75 @@
+/// What happens to a request where it enters: who it is for, what it is worth, and how long it may take.
+///
+/// Decisions over the board only. A front end reads requests and writes replies; any front end can use this code.
+#pragma once
+
+#include "board/Board.h"
+#include "freshness/Freshness.h"
+#include "retry/Retry.h"
+
+namespace Vanillaridge {
+
+/// A request as any front end can describe it.
+struct IncomingRequest {
+    std::string_view method;
+    /// Without the query.
+    std::string_view path;
+    /// The caller's key; absent when none came.
+    std::optional<std::string_view> key;
+    /// Time that the caller gives it.
+    std::optional<Duration> remaining;
+    /// How important the caller holds it; it can lower the route's importance, not raise it.
+    std::optional<Importance> importance;
+    /// Length of its body in bytes, when known.
+    std::optional<uint64_t> bodyBytes;
+};
+
+/// What entry decides: a request to be served, or why not.
+struct EntryDecision {
+    /// None when the request is to be served.
+    Reason reason { Reason::None };
+    Duration retryAfter { 0 };
+    RequestContext context;
+    Instant deadline;
+    /// Keeps the route alive.
+    ConfigurationPointer configuration;
+    const Route* route { nullptr };
+    /// Retries lent by the parent's attempt.
+    uint32_t retriesLent { 0 };
+};
+
+/// May be called from several threads. References must outlive it.
+class Entry {
+public:
+    Entry(Board&, const Clock&, RandomSource&, const Freshness&, Retry&);
+    ~Entry();
+
+    /// Decides about a caller's request. What follows counts against its account.
+    EntryDecision decide(const IncomingRequest&);
+    /// Decides about a call that a backend server beside this node makes for the request it is running. Account,
+    /// importance, deadline and retries are the parent's: the backend server cannot change them.
+    EntryDecision decideCall(const IncomingRequest&, const AttemptId& parent);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// Headers that are passed on to a backend server: none that carries the caller's key, and none of our own.
+std::vector<HeaderField> headersForBackend(std::span<const HeaderField>, std::string_view key);
+/// Whether the key stands where it would be passed on.
+bool targetCarriesKey(std::string_view target, std::string_view key);
+
+/// Names of the headers that callers and backend servers see. All begin with the same word.
+constexpr std::string_view ownHeaderPrefix = "vanillaridge-";
+constexpr std::string_view requestHeader = "Vanillaridge-Request";
+constexpr std::string_view remainingHeader = "Vanillaridge-Remaining-Milliseconds";
+constexpr std::string_view importanceHeader = "Vanillaridge-Importance";
+constexpr std::string_view outcomeHeader = "Vanillaridge-Outcome";
+constexpr std::string_view reasonHeader = "Vanillaridge-Reason";
+
+/// The name by which a backend server calls the attempt that it is working on.
+std::string toText(const AttemptId&);
+std::optional<AttemptId> attemptIdFromText(std::string_view);
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/node/Parts.h
@@ -0,0 +1,70 @@
+/// What one node consists of: the board, the controllers over it, and the transports. Private to the node library.
+#pragma once
+
+#include "admission/Admission.h"
+#include "announcement/Announcement.h"
+#include "board/Board.h"
+#include "dissemination/Dissemination.h"
+#include "entry/Entry.h"
+#include "freshness/Freshness.h"
+#include "http/Http.h"
+#include "membership/Membership.h"
+#include "peer/Peer.h"
+#include "placement/Placement.h"
+#include "quota/Quota.h"
+#include "retry/Retry.h"
+#include "settings/Settings.h"
+#include "verdict/Verdict.h"
+
+namespace Vanillaridge {
+
+/// Attempts that wait for admission, and how each is told.
+class AdmissionWaiters {
+public:
+    using Tell = std::function<void(const AdmissionDecision&)>;
+
+    void add(const AttemptId&, Tell);
+    void remove(const AttemptId&);
+    /// Tells the attempts that the changes are about.
+    void tell(std::span<const AdmissionChange>);
+    bool any() const { return m_count.load() > 0; }
+
+private:
+    Sharded<AttemptId, Tell> m_waiting;
+    std::atomic<size_t> m_count { 0 };
+};
+
+/// The controllers of a node, in the order in which they depend on each other. They meet on the board only.
+struct Controllers {
+    Controllers(Board&, const SystemClock&, RandomSource&, Platform&, const ManifestCodec&, const Settings&);
+
+    LocalServers localServers;
+    Membership membership;
+    Directory directory;
+    Dissemination dissemination;
+    Freshness freshness;
+    Quota quota;
+    Retry retry;
+    Entry entry;
+    Placement placement;
+    Admission admission;
+    AdmissionWaiters waiters;
+    GuardLedger guardLedger;
+    EntryLedger entryLedger;
+    Duplicates duplicates;
+};
+
+/// What the flows of requests use.
+struct Parts {
+    boost::asio::io_context& context;
+    Board& board;
+    SystemClock& clock;
+    RandomSource& random;
+    Controllers& control;
+    PeerTransport& peers;
+    BackendPool& backends;
+    /// Milliseconds that served requests spent in this node beside the backend server's own time.
+    class LatencyHistogram& addedLatency;
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/peer/Connection.cpp
@@ -0,0 +1,481 @@
+#include "peer/Connection.h"
+
+#include "log/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+
+namespace Vanillaridge {
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+
+namespace {
+
+    constexpr size_t readBytes = 64 * 1024;
+    constexpr Duration watchPeriod = milliseconds(250);
+
+    Nonce freshNonce(RandomSource& random)
+    {
+        Nonce nonce;
+        for (size_t i = 0; i < nonce.size(); i += sizeof(uint64_t)) {
+            const uint64_t bits = random.next();
+            std::memcpy(nonce.data() + i, &bits, sizeof(bits));
+        }
+        return nonce;
+    }
+
+    Duration stampOf(Instant instant) { return instant.time_since_epoch(); }
+
+    // A stream over a connection; it knows its number there.
+    class ConnectionStream final : public QueuedStream {
+    public:
+        ConnectionStream(boost::asio::io_context& context, std::shared_ptr<Connection> connection, uint64_t number)
+            : QueuedStream(context)
+            , m_connection(std::move(connection))
+            , m_number(number)
+        {
+        }
+
+        bool send(StreamMessage message) override { return m_connection->send(m_number, message); }
+
+        void close() override
+        {
+            lose();
+            m_connection->closeStream(m_number);
+        }
+
+        const Hello& peer() const override { return m_connection->peer(); }
+
+    private:
+        std::shared_ptr<Connection> m_connection;
+        uint64_t m_number;
+    };
+
+} // namespace
+
+Hello PeerContext::hello() const
+{
+    return { board.self().endpoint, board.self().boot, freshNonce(random), protocolVersion };
+}
+
+Connection::Connection(std::shared_ptr<PeerContext> peers, PeerStream stream)
+    : m_peers(std::move(peers))
+    , m_strand(stream.get_executor())
+    , m_stream(std::move(stream))
+    , m_watchTimer(m_strand)
+    , m_usedAt(m_peers->clock.now())
+{
+}
+
+Connection::Connection(std::shared_ptr<PeerContext> peers)
+    : m_peers(std::move(peers))
+    , m_strand(boost::asio::make_strand(m_peers->context))
+    , m_stream(m_strand)
+    , m_watchTimer(m_strand)
+    , m_usedAt(m_peers->clock.now())
+{
+}
+
+// --- Beginning ------------------------------------------------------------------------------------------------------
+
+Task<void> Connection::connect(Endpoint endpoint)
+{
+    const auto self = shared_from_this();
+    const auto colon = endpoint.rfind(':');
+    ErrorCode error;
+    const auto address = boost::asio::ip::make_address(endpoint.substr(0, colon), error);
+    if (!error) {
+        const auto port = static_cast<uint16_t>(std::atoi(endpoint.c_str() + colon + 1));
+        m_stream.expires_after(m_peers->settings.connectTimeout);
+        co_await m_stream.async_connect(Tcp::endpoint(address, port), redirect_error(use_awaitable, error));
+    }
+    if (!error && co_await shakeHands() && peer().endpoint == endpoint) {
+        m_peers->board.counters().add(Counter::PeerConnectionsOpened);
+        becomeReady();
+        boost::asio::co_spawn(m_strand, watch(), boost::asio::detached);
+        co_await readMessages();
+    }
+    becomeLost();
+}
+
+Task<void> Connection::accept()
+{
+    const auto self = shared_from_this();
+    if (co_await shakeHands()) {
+        becomeReady();
+        boost::asio::co_spawn(m_strand, watch(), boost::asio::detached);
+        co_await readMessages();
+    }
+    becomeLost();
+}
+
+// Each side sends its Hello at once, and under the keys that both Hellos make a Ready, which ties its clock to ours.
+Task<bool> Connection::shakeHands()
+{
+    // 1. Our Hello.
+    ErrorCode error;
+    m_stream.socket().set_option(Tcp::no_delay(true), error);
+    m_stream.expires_after(m_peers->settings.connectTimeout);
+    const Hello own = m_peers->hello();
+    m_challengedAt = m_peers->clock.now();
+    const auto hello = m_peers->authenticator.sealHello(own);
+    co_await boost::asio::async_write(m_stream, boost::asio::buffer(hello), redirect_error(use_awaitable, error));
+    if (error)
+        co_return false;
+
+    // 2. Theirs, and the session.
+    const auto theirs = co_await readHello();
+    if (!theirs)
+        co_return false;
+    auto session = m_peers->authenticator.session(own, *theirs);
+    if (!session) {
+        m_peers->board.counters().add(Counter::PeerMessagesForged);
+        co_return false;
+    }
+    m_session.emplace(std::move(*session));
+
+    // 3. Our Ready.
+    std::string ready;
+    if (!m_session->seal(ready, controlStream, Ready { stampOf(m_peers->clock.now()) }))
+        co_return false;
+    co_await boost::asio::async_write(m_stream, boost::asio::buffer(ready), redirect_error(use_awaitable, error));
+    if (error)
+        co_return false;
+
+    // 4. Theirs.
+    const auto frame = co_await readFrame();
+    const auto* answer = frame ? std::get_if<Ready>(&frame->message) : nullptr;
+    if (!answer)
+        co_return false;
+    m_clockOfPeer.emplace(m_challengedAt, m_peers->clock.now(), answer->sentAt);
+    m_stream.expires_never();
+    co_return true;
+}
+
+Task<bool> Connection::ready()
+{
+    const auto self = shared_from_this();
+    std::shared_ptr<Waiter> waiter;
+    {
+        std::lock_guard guard(m_streamsLock);
+        if (m_state.load() != State::Connecting)
+            co_return m_state.load() == State::Ready;
+        waiter = std::make_shared<Waiter>(m_peers->context, 1);
+        m_waiters.push_back(waiter);
+    }
+    ErrorCode error;
+    co_await waiter->async_receive(redirect_error(use_awaitable, error));
+    co_return m_state.load() == State::Ready;
+}
+
+void Connection::wake(std::vector<std::shared_ptr<Waiter>> waiters)
+{
+    for (const auto& waiter : waiters)
+        waiter->try_send(ErrorCode());
+}
+
+void Connection::becomeReady()
+{
+    m_heardAt = stampOf(m_peers->clock.now()).count();
+    std::vector<std::shared_ptr<Waiter>> waiters;
+    {
+        std::lock_guard guard(m_streamsLock);
+        m_state = State::Ready;
+        waiters = std::exchange(m_waiters, {});
+    }
+    wake(std::move(waiters));
+}
+
+void Connection::becomeLost()
+{
+    std::vector<std::shared_ptr<Waiter>> waiters;
+    std::unordered_map<uint64_t, std::shared_ptr<QueuedStream>> streams;
+    {
+        std::lock_guard guard(m_streamsLock);
+        if (m_state.exchange(State::Lost) == State::Lost)
+            return;
+        waiters = std::exchange(m_waiters, {});
+        streams = std::exchange(m_streams, {});
+    }
+    if (!streams.empty())
+        m_peers->board.counters().add(Counter::PeerConnectionsLost);
+    for (const auto& [number, stream] : streams)
+        stream->lose();
+    wake(std::move(waiters));
+    m_watchTimer.cancel();
+    m_stream.close();
+}
+
+void Connection::close()
+{
+    boost::asio::post(m_strand, [self = shared_from_this()] { self->becomeLost(); });
+}
+
+// --- Reading --------------------------------------------------------------------------------------------------------
+
+// Reads until so many bytes are there.
+Task<bool> Connection::fill(size_t bytes)
+{
+    while (m_input.size() - m_inputStart < bytes) {
+        m_input.erase(m_input.begin(), m_input.begin() + static_cast<std::ptrdiff_t>(m_inputStart));
+        m_inputStart = 0;
+        const size_t held = m_input.size();
+        m_input.resize(std::max(held + readBytes, bytes));
+        ErrorCode error;
+        const auto read = co_await m_stream.async_read_some(
+            boost::asio::buffer(m_input.data() + held, m_input.size() - held), redirect_error(use_awaitable, error));
+        m_input.resize(held + read);
+        if (error)
+            co_return false;
+    }
+    co_return true;
+}
+
+namespace {
+
+    void countBroken(Board& board, WireError error)
+    {
+        const bool forged = error == WireError::BadMac || error == WireError::BadHandshake;
+        board.counters().add(forged ? Counter::PeerMessagesForged : Counter::PeerMessagesMalformed);
+    }
+
+    // Runs a step that may fail with a WireError, and counts the failure.
+    template <typename Value, typename Step> std::optional<Value> counted(Board& board, Step&& step)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<Value>> {
+                BOOST_LEAF_AUTO(value, step());
+                return std::optional<Value>(std::move(value));
+            },
+            [&](WireError error) -> std::optional<Value> {
+                countBroken(board, error);
+                return std::nullopt;
+            },
+            [&]() -> std::optional<Value> {
+                countBroken(board, WireError::BadValue);
+                return std::nullopt;
+            });
+    }
+
+    using HeaderBytes = std::span<const std::byte, frameHeaderSize>;
+
+} // namespace
+
+Task<std::optional<Hello>> Connection::readHello()
+{
+    if (!co_await fill(frameHeaderSize))
+        co_return std::nullopt;
+    auto& board = m_peers->board;
+    const auto length
+        = counted<size_t>(board, [&] { return payloadSize(HeaderBytes(&m_input[m_inputStart], frameHeaderSize)); });
+    if (!length || !co_await fill(frameHeaderSize + *length))
+        co_return std::nullopt;
+    const HeaderBytes header(&m_input[m_inputStart], frameHeaderSize);
+    const Bytes payload(&m_input[m_inputStart + frameHeaderSize], *length);
+    auto hello = counted<Hello>(board, [&] { return m_peers->authenticator.openHello(header, payload); });
+    m_inputStart += frameHeaderSize + *length;
+    co_return hello;
+}
+
+Task<std::optional<Frame>> Connection::readFrame()
+{
+    if (!co_await fill(frameHeaderSize))
+        co_return std::nullopt;
+    auto& board = m_peers->board;
+    const auto length
+        = counted<size_t>(board, [&] { return payloadSize(HeaderBytes(&m_input[m_inputStart], frameHeaderSize)); });
+    if (!length || !co_await fill(frameHeaderSize + *length))
+        co_return std::nullopt;
+    const HeaderBytes header(&m_input[m_inputStart], frameHeaderSize);
+    const Bytes payload(&m_input[m_inputStart + frameHeaderSize], *length);
+    auto frame = counted<Frame>(board, [&] { return m_session->open(header, payload); });
+    m_inputStart += frameHeaderSize + *length;
+    co_return frame;
+}
+
+Task<void> Connection::readMessages()
+{
+    while (m_state.load() == State::Ready) {
+        auto frame = co_await readFrame();
+        if (!frame)
+            co_return;
+        m_heardAt = stampOf(m_peers->clock.now()).count();
+        m_peers->board.counters().add(Counter::PeerMessagesReceived);
+        handle(std::move(*frame));
+    }
+}
+
+Duration Connection::ageBound(Duration stamp) const { return m_clockOfPeer->ageBound(stamp, m_peers->clock.now()); }
+
+// Sorts a message to whom it is for. What belongs to a stream that has ended here is late, and is dropped.
+void Connection::handle(Frame frame)
+{
+    auto& message = frame.message;
+    if (const auto* ping = std::get_if<Ping>(&message)) {
+        send(controlStream, Pong { ping->sequence });
+    } else if (const auto* pong = std::get_if<Pong>(&message)) {
+        if (m_unansweredPing == pong->sequence)
+            m_unansweredPing.reset();
+    } else if (auto* control = std::get_if<ControlMessage>(&message)) {
+        m_usedAt = m_peers->clock.now();
+        m_peers->handler.control(peer().endpoint, *control);
+    } else if (auto* open = std::get_if<OpenRequest>(&message)) {
+        handle(frame.stream, std::move(*open));
+    } else if (const auto* query = std::get_if<VerdictQuery>(&message)) {
+        handle(frame.stream, *query);
+    } else {
+        std::shared_ptr<QueuedStream> stream;
+        {
+            std::lock_guard guard(m_streamsLock);
+            const auto found = m_streams.find(frame.stream);
+            if (found != m_streams.end())
+                stream = found->second;
+        }
+        if (stream && !stream->deliver(std::move(message)))
+            becomeLost();
+    }
+}
+
+namespace {
+
+    // The stream ends with its handler, however that ends.
+    Task<void> serveStream(
+        std::shared_ptr<PeerContext> peers, MessageStreamPointer stream, OpenRequest request, Duration ageBound)
+    {
+        try {
+            co_await peers->handler.serve(stream, std::move(request), ageBound);
+        } catch (const std::exception& error) {
+            log(LogLevel::Error, "request-handler-failed", { { "error", error.what() } });
+        }
+        stream->close();
+    }
+
+} // namespace
+
+void Connection::handle(uint64_t number, OpenRequest request)
+{
+    const auto stream = std::make_shared<ConnectionStream>(m_peers->context, shared_from_this(), number);
+    {
+        std::lock_guard guard(m_streamsLock);
+        if (m_state.load() != State::Ready || !m_streams.emplace(number, stream).second)
+            return;
+    }
+    m_usedAt = m_peers->clock.now();
+    const auto age = ageBound(request.sentAt);
+    boost::asio::co_spawn(boost::asio::make_strand(m_peers->context),
+        serveStream(m_peers, stream, std::move(request), age), boost::asio::detached);
+}
+
+void Connection::handle(uint64_t number, const VerdictQuery& query)
+{
+    send(number, m_peers->handler.verdict(query, peer(), ageBound(query.openedAt)));
+}
+
+// --- Streams --------------------------------------------------------------------------------------------------------
+
+std::shared_ptr<QueuedStream> Connection::openStream()
+{
+    std::lock_guard guard(m_streamsLock);
+    if (m_state.load() != State::Ready)
+        return nullptr;
+    const uint64_t number = ++m_lastStream;
+    auto stream = std::make_shared<ConnectionStream>(m_peers->context, shared_from_this(), number);
+    m_streams.emplace(number, stream);
+    return stream;
+}
+
+void Connection::closeStream(uint64_t number)
+{
+    std::lock_guard guard(m_streamsLock);
+    m_streams.erase(number);
+}
+
+size_t Connection::streamCount()
+{
+    std::lock_guard guard(m_streamsLock);
+    return m_streams.size();
+}
+
+bool Connection::silentFor(Duration limit) const
+{
+    return stampOf(m_peers->clock.now()) - Duration(m_heardAt.load()) > limit;
+}
+
+// An open connection can go silent for good while new ones work, so one that requests wait on is pinged, and given up
+// when no answer comes. One that nobody uses is closed.
+Task<void> Connection::watch()
+{
+    const auto self = shared_from_this();
+    const auto& settings = m_peers->settings;
+    while (m_state.load() == State::Ready) {
+        m_watchTimer.expires_after(watchPeriod);
+        ErrorCode error;
+        co_await m_watchTimer.async_wait(redirect_error(use_awaitable, error));
+        const auto now = m_peers->clock.now();
+
+        // 1. Nobody uses it.
+        if (streamCount())
+            m_usedAt = now;
+        else if (now - m_usedAt > settings.idleTimeout)
+            becomeLost();
+        if (!streamCount())
+            continue;
+
+        // 2. Requests wait on a silent connection.
+        if (m_unansweredPing && now - m_pingedAt > settings.pingTimeout) {
+            becomeLost();
+        } else if (!m_unansweredPing && silentFor(settings.pingAfter)) {
+            m_unansweredPing = ++m_pings;
+            m_pingedAt = now;
+            send(controlStream, Ping { m_pings, stampOf(now) });
+        }
+    }
+}
+
+// --- Writing --------------------------------------------------------------------------------------------------------
+
+bool Connection::send(uint64_t stream, const StreamMessage& message)
+{
+    bool startWriting = false;
+    {
+        std::lock_guard guard(m_writeLock);
+        if (m_state.load() != State::Ready || !m_session->seal(m_pending, stream, message))
+            return false;
+        startWriting = !std::exchange(m_writing, true);
+    }
+    m_peers->board.counters().add(Counter::PeerMessagesSent);
+    if (startWriting)
+        boost::asio::co_spawn(
+            m_strand, [self = shared_from_this()] { return self->write(); }, boost::asio::detached);
+    return true;
+}
+
+// Writes what is pending until nothing is; messages that come meanwhile go together in the next write.
+Task<void> Connection::write()
+{
+    const auto self = shared_from_this();
+    std::string writing;
+    while (true) {
+        {
+            std::lock_guard guard(m_writeLock);
+            writing.clear();
+            writing.swap(m_pending);
+            if (writing.empty()) {
+                m_writing = false;
+                co_return;
+            }
+        }
+        ErrorCode error;
+        co_await boost::asio::async_write(m_stream, boost::asio::buffer(writing), redirect_error(use_awaitable, error));
+        if (error) {
+            becomeLost();
+            co_return;
+        }
+    }
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/peer/Connection.h
@@ -0,0 +1,109 @@
+/// One authenticated TCP connection between two nodes, with many streams.
+#pragma once
+
+#include "peer/Streams.h"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <unordered_map>
+
+namespace Vanillaridge {
+
+using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+using Tcp = boost::asio::ip::tcp;
+using PeerStream = boost::beast::basic_stream<Tcp, Strand>;
+using ErrorCode = boost::system::error_code;
+
+/// What the connections of one node share.
+struct PeerContext {
+    boost::asio::io_context& context;
+    Board& board;
+    const Clock& clock;
+    RandomSource& random;
+    Authenticator authenticator;
+    PeerHandler& handler;
+    PeerSettings settings;
+
+    Hello hello() const;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+    /// One that another node made.
+    Connection(std::shared_ptr<PeerContext>, PeerStream);
+    /// One to be made by connect().
+    explicit Connection(std::shared_ptr<PeerContext>);
+
+    /// Connects and shakes hands, then reads until the connection ends.
+    Task<void> connect(Endpoint);
+    /// Shakes hands on a connection that was accepted, then reads until it ends.
+    Task<void> accept();
+    /// Whether the connection is ready for messages, waiting for it if it is still being made.
+    Task<bool> ready();
+
+    std::shared_ptr<QueuedStream> openStream();
+    void closeStream(uint64_t stream);
+    /// Appends a message to what is to be written. False when the connection is not, or no longer, ready.
+    bool send(uint64_t stream, const StreamMessage&);
+    /// Closes the socket; streams are told.
+    void close();
+
+    const Strand& strand() const { return m_strand; }
+    bool lost() const { return m_state.load() == State::Lost; }
+    const Hello& peer() const { return m_session->peer(); }
+
+private:
+    enum class State : uint8_t { Connecting, Ready, Lost };
+    using Waiter = boost::asio::experimental::concurrent_channel<void(ErrorCode)>;
+
+    Task<bool> shakeHands();
+    Task<std::optional<Frame>> readFrame();
+    Task<bool> fill(size_t bytes);
+    Task<std::optional<Hello>> readHello();
+    Task<void> readMessages();
+    Task<void> watch();
+    Task<void> write();
+    void handle(Frame);
+    void handle(uint64_t stream, OpenRequest);
+    void handle(uint64_t stream, const VerdictQuery&);
+    void becomeReady();
+    void becomeLost();
+    void wake(std::vector<std::shared_ptr<Waiter>>);
+    bool silentFor(Duration) const;
+    size_t streamCount();
+    Duration ageBound(Duration stamp) const;
+
+    const std::shared_ptr<PeerContext> m_peers;
+    Strand m_strand;
+    PeerStream m_stream;
+    boost::asio::steady_timer m_watchTimer;
+    std::atomic<State> m_state { State::Connecting };
+
+    // Reading, on the strand only.
+    std::vector<std::byte> m_input;
+    size_t m_inputStart { 0 };
+    std::optional<PeerClock> m_clockOfPeer;
+    Instant m_challengedAt;
+    Instant m_usedAt;
+    std::atomic<Duration::rep> m_heardAt { 0 };
+    std::optional<uint64_t> m_unansweredPing;
+    Instant m_pingedAt;
+    uint64_t m_pings { 0 };
+
+    // Streams.
+    std::mutex m_streamsLock;
+    std::unordered_map<uint64_t, std::shared_ptr<QueuedStream>> m_streams;
+    uint64_t m_lastStream { controlStream };
+    std::vector<std::shared_ptr<Waiter>> m_waiters;
+
+    // Writing. Frames are sealed under the lock, so that their numbers keep their order.
+    std::mutex m_writeLock;
+    std::optional<Session> m_session;
+    std::string m_pending;
+    bool m_writing { false };
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/peer/Peer.cpp
@@ -0,0 +1,330 @@
+#include "peer/Peer.h"
+
+#include "log/Log.h"
+#include "peer/Connection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+
+namespace Vanillaridge {
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using Udp = boost::asio::ip::udp;
+
+namespace {
+
+    constexpr Duration acceptPause = milliseconds(50);
+
+    std::optional<Tcp::endpoint> addressOf(const Endpoint& endpoint)
+    {
+        const auto colon = endpoint.rfind(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+        ErrorCode error;
+        const auto address = boost::asio::ip::make_address(endpoint.substr(0, colon), error);
+        if (error)
+            return std::nullopt;
+        return Tcp::endpoint(address, static_cast<uint16_t>(std::atoi(endpoint.c_str() + colon + 1)));
+    }
+
+    PeerError peerErrorOf(const ErrorCode& error)
+    {
+        return error == boost::asio::error::address_in_use ? PeerError::AddressInUse : PeerError::Other;
+    }
+
+} // namespace
+
+struct PeerTransport::Implementation : std::enable_shared_from_this<PeerTransport::Implementation> {
+    Implementation(boost::asio::io_context& context, Board& board, const Clock& clock, RandomSource& random,
+        std::string_view secret, PeerHandler& handler, PeerSettings settings)
+        : peers(std::make_shared<PeerContext>(
+            PeerContext { context, board, clock, random, Authenticator(secret), handler, settings }))
+        , acceptor(boost::asio::make_strand(context))
+        , datagrams(boost::asio::make_strand(context))
+    {
+    }
+
+    std::optional<PeerError> bind();
+    Task<void> accept();
+    Task<void> receiveDatagrams();
+    void handleDatagram(Bytes);
+    void deliverOutbox();
+    void sendDatagram(const OutgoingMessage&);
+    Task<void> sendControl(OutgoingMessage);
+    std::shared_ptr<Connection> connectionTo(const Endpoint&);
+    Task<void> closeAfter(std::shared_ptr<Connection>, Duration);
+
+    std::shared_ptr<PeerContext> peers;
+    boost::asio::basic_socket_acceptor<Tcp, Strand> acceptor;
+    boost::asio::basic_datagram_socket<Udp, Strand> datagrams;
+    Sharded<Endpoint, std::shared_ptr<Connection>> outgoing;
+    std::mutex incomingLock;
+    std::vector<std::weak_ptr<Connection>> incoming;
+    std::atomic<bool> outboxPosted { false };
+    std::atomic<bool> stopped { false };
+};
+
+PeerTransport::PeerTransport(boost::asio::io_context& context, Board& board, const Clock& clock, RandomSource& random,
+    std::string_view sharedSecret, PeerHandler& handler, PeerSettings settings)
+    : m_implementation(std::make_shared<Implementation>(context, board, clock, random, sharedSecret, handler, settings))
+{
+}
+
+PeerTransport::~PeerTransport() { stop(); }
+
+// --- Sockets --------------------------------------------------------------------------------------------------------
+
+std::optional<PeerError> PeerTransport::Implementation::bind()
+{
+    const auto address = addressOf(peers->board.self().endpoint);
+    if (!address)
+        return PeerError::BadEndpoint;
+    ErrorCode error;
+    acceptor.open(address->protocol(), error);
+    if (!error)
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*address, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return peerErrorOf(error);
+    const Udp::endpoint udpAddress(address->address(), address->port());
+    datagrams.open(udpAddress.protocol(), error);
+    if (!error)
+        datagrams.bind(udpAddress, error);
+    if (!error)
+        datagrams.non_blocking(true, error);
+    if (error)
+        return peerErrorOf(error);
+    return std::nullopt;
+}
+
+std::optional<PeerError> PeerTransport::start()
+{
+    auto& self = *m_implementation;
+    if (const auto error = self.bind())
+        return error;
+    boost::asio::co_spawn(self.acceptor.get_executor(), self.accept(), boost::asio::detached);
+    boost::asio::co_spawn(self.datagrams.get_executor(), self.receiveDatagrams(), boost::asio::detached);
+    self.peers->board.outbox().onPost([weak = m_implementation->weak_from_this()] {
+        const auto implementation = weak.lock();
+        if (!implementation || implementation->outboxPosted.exchange(true))
+            return;
+        boost::asio::post(implementation->peers->context, [implementation] { implementation->deliverOutbox(); });
+    });
+    return std::nullopt;
+}
+
+void PeerTransport::stop()
+{
+    if (m_implementation->stopped.exchange(true))
+        return;
+    boost::asio::post(m_implementation->acceptor.get_executor(), [self = m_implementation] {
+        ErrorCode ignored;
+        self->acceptor.close(ignored);
+    });
+    boost::asio::post(m_implementation->datagrams.get_executor(), [self = m_implementation] {
+        ErrorCode ignored;
+        self->datagrams.close(ignored);
+    });
+    m_implementation->outgoing.forEach([](const Endpoint&, const auto& connection) { connection->close(); });
+    std::lock_guard guard(m_implementation->incomingLock);
+    for (const auto& weak : m_implementation->incoming) {
+        if (const auto connection = weak.lock())
+            connection->close();
+    }
+}
+
+Task<void> PeerTransport::Implementation::accept()
+{
+    const auto self = shared_from_this();
+    boost::asio::steady_timer pause(acceptor.get_executor());
+    while (!stopped) {
+        const auto strand = boost::asio::make_strand(peers->context);
+        PeerStream stream(strand);
+        ErrorCode error;
+        co_await acceptor.async_accept(stream.socket(), redirect_error(use_awaitable, error));
+        if (error == boost::asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(redirect_error(use_awaitable, error));
+            continue;
+        }
+        const auto connection = std::make_shared<Connection>(peers, std::move(stream));
+        {
+            std::lock_guard guard(incomingLock);
+            std::erase_if(incoming, [](const auto& weak) { return weak.expired(); });
+            incoming.push_back(connection);
+        }
+        boost::asio::co_spawn(
+            strand, [connection] { return connection->accept(); }, boost::asio::detached);
+    }
+}
+
+// --- Datagrams ------------------------------------------------------------------------------------------------------
+
+Task<void> PeerTransport::Implementation::receiveDatagrams()
+{
+    const auto self = shared_from_this();
+    std::vector<std::byte> buffer(maximumDatagram);
+    Udp::endpoint sender;
+    while (!stopped) {
+        ErrorCode error;
+        const auto size = co_await datagrams.async_receive_from(
+            boost::asio::buffer(buffer), sender, redirect_error(use_awaitable, error));
+        if (error == boost::asio::error::operation_aborted || error == boost::asio::error::bad_descriptor)
+            co_return;
+        if (!error)
+            handleDatagram(Bytes(buffer.data(), size));
+    }
+}
+
+// A datagram counts for the node that sealed it, whatever address it came from.
+void PeerTransport::Implementation::handleDatagram(Bytes bytes)
+{
+    auto& counters = peers->board.counters();
+    counters.add(Counter::ControlBytesReceived, bytes.size());
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(datagram, peers->authenticator.open(bytes, peers->board.self().endpoint));
+            counters.add(Counter::PeerMessagesReceived);
+            peers->handler.control(datagram.from, datagram.message);
+            return {};
+        },
+        [&](WireError error) {
+            const bool forged = error == WireError::BadMac;
+            counters.add(forged ? Counter::PeerMessagesForged : Counter::PeerMessagesMalformed);
+        },
+        [&] { counters.add(Counter::PeerMessagesMalformed); });
+}
+
+void PeerTransport::Implementation::sendDatagram(const OutgoingMessage& outgoingMessage)
+{
+    const auto address = addressOf(outgoingMessage.to);
+    if (!address)
+        return;
+    const auto& self = peers->board.self();
+    const Datagram datagram { self.endpoint, self.boot, peers->clock.now().time_since_epoch(),
+        outgoingMessage.message };
+    auto& counters = peers->board.counters();
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(bytes, peers->authenticator.seal(datagram, outgoingMessage.to));
+            ErrorCode ignored;
+            datagrams.send_to(
+                boost::asio::buffer(bytes), Udp::endpoint(address->address(), address->port()), 0, ignored);
+            counters.add(Counter::PeerMessagesSent);
+            counters.add(Counter::ControlBytesSent, bytes.size());
+            return {};
+        },
+        [&] { counters.add(Counter::PeerMessagesMalformed); });
+}
+
+// --- Control messages -----------------------------------------------------------------------------------------------
+
+// Empties the outbox. Datagrams go out on their socket's strand; the others take or make a connection.
+void PeerTransport::Implementation::deliverOutbox()
+{
+    outboxPosted = false;
+    for (auto& message : peers->board.outbox().drain()) {
+        if (message.to == peers->board.self().endpoint)
+            peers->handler.control(message.to, message.message);
+        else if (isDatagram(message.message))
+            boost::asio::post(datagrams.get_executor(),
+                [self = shared_from_this(), message = std::move(message)] { self->sendDatagram(message); });
+        else
+            boost::asio::co_spawn(peers->context, sendControl(std::move(message)), boost::asio::detached);
+    }
+}
+
+// A control message that cannot be sent is dropped: controllers ask again.
+Task<void> PeerTransport::Implementation::sendControl(OutgoingMessage message)
+{
+    const auto self = shared_from_this();
+    const auto connection = connectionTo(message.to);
+    if (co_await connection->ready())
+        connection->send(controlStream, std::move(message.message));
+}
+
+// --- Connections ----------------------------------------------------------------------------------------------------
+
+// The connection to a node, which is made if there is none or it was lost.
+std::shared_ptr<Connection> PeerTransport::Implementation::connectionTo(const Endpoint& endpoint)
+{
+    std::shared_ptr<Connection> made;
+    const auto connection = outgoing.update(endpoint, [&](std::shared_ptr<Connection>& present) {
+        if (!present || present->lost())
+            present = made = std::make_shared<Connection>(peers);
+        return present;
+    });
+    if (made) {
+        boost::asio::co_spawn(
+            made->strand(), [made, endpoint] { return made->connect(endpoint); }, boost::asio::detached);
+    }
+    return connection;
+}
+
+Task<MessageStreamPointer> PeerTransport::open(Endpoint endpoint)
+{
+    const auto self = m_implementation;
+    if (endpoint == self->peers->board.self().endpoint) {
+        const auto [entry, guard] = makeLocalStreams(self->peers->context, self->peers->hello());
+        boost::asio::co_spawn(
+            boost::asio::make_strand(self->peers->context),
+            [](std::shared_ptr<PeerContext> peers, MessageStreamPointer stream) -> Task<void> {
+                auto first = co_await stream->receive();
+                if (auto* request = first ? std::get_if<OpenRequest>(&*first) : nullptr)
+                    co_await peers->handler.serve(stream, std::move(*request), Duration(0));
+            }(self->peers, guard),
+            boost::asio::detached);
+        co_return entry;
+    }
+    const auto connection = self->connectionTo(endpoint);
+    if (!co_await connection->ready())
+        co_return nullptr;
+    co_return connection->openStream();
+}
+
+// Breaks off a connection that nobody else uses, once its time is over.
+Task<void> PeerTransport::Implementation::closeAfter(std::shared_ptr<Connection> connection, Duration limit)
+{
+    const auto self = shared_from_this();
+    boost::asio::steady_timer timer(peers->context, limit);
+    ErrorCode ignored;
+    co_await timer.async_wait(redirect_error(use_awaitable, ignored));
+    connection->close();
+}
+
+Task<std::optional<VerdictReply>> PeerTransport::askVerdict(Endpoint endpoint, VerdictQuery query)
+{
+    // 1. The judge of what ran here is this node itself.
+    const auto self = m_implementation;
+    if (endpoint == self->peers->board.self().endpoint)
+        co_return self->peers->handler.verdict(query, self->peers->hello(), Duration(0));
+
+    // 2. A connection of its own: the one that the request went by may be the fault.
+    const auto connection = std::make_shared<Connection>(self->peers);
+    boost::asio::co_spawn(
+        connection->strand(), [connection, endpoint] { return connection->connect(endpoint); }, boost::asio::detached);
+    boost::asio::co_spawn(self->peers->context, self->closeAfter(connection, 2 * self->peers->settings.connectTimeout),
+        boost::asio::detached);
+    const auto stream = co_await connection->ready() ? connection->openStream() : nullptr;
+    if (!stream || !stream->send(query))
+        co_return std::nullopt;
+
+    // 3. Its reply.
+    const auto message = co_await stream->receive();
+    connection->close();
+    const auto* reply = message ? std::get_if<VerdictReply>(&*message) : nullptr;
+    if (!reply || reply->attempt != query.attempt)
+        co_return std::nullopt;
+    co_return *reply;
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/peer/Streams.cpp
@@ -0,0 +1,136 @@
+#include "peer/Streams.h"
+
+#include <algorithm>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // Beside bodies, which credit bounds, a stream has a handful of messages at a time.
+    constexpr size_t queuedMessages = 1024;
+    constexpr size_t smallestCharge = 1024;
+
+} // namespace
+
+size_t creditOf(const BodyChunk& chunk) { return std::max(chunk.bytes.size(), smallestCharge); }
+
+QueuedStream::QueuedStream(boost::asio::io_context& context)
+    : m_arrivals(context, queuedMessages)
+    , m_creditAdded(context, 1)
+{
+}
+
+Task<std::optional<StreamMessage>> QueuedStream::receive()
+{
+    const auto self = shared_from_this();
+    ErrorCode error;
+    auto message = co_await m_arrivals.async_receive(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (error)
+        co_return std::nullopt;
+    co_return std::move(message);
+}
+
+Task<bool> QueuedStream::sendBody(BodyChunk chunk)
+{
+    const auto self = shared_from_this();
+    while (true) {
+        {
+            std::lock_guard guard(m_lock);
+            if (m_closed)
+                co_return false;
+            if (m_credit > 0) {
+                m_credit -= static_cast<int64_t>(creditOf(chunk));
+                break;
+            }
+        }
+        ErrorCode error;
+        co_await m_creditAdded.async_receive(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    }
+    co_return send(std::move(chunk));
+}
+
+void QueuedStream::grantCredit(size_t bytes)
+{
+    if (bytes)
+        send(BodyCredit { bytes });
+}
+
+void QueuedStream::addCredit(uint64_t bytes)
+{
+    {
+        std::lock_guard guard(m_lock);
+        m_credit += static_cast<int64_t>(bytes);
+    }
+    m_creditAdded.try_send(ErrorCode());
+}
+
+bool QueuedStream::deliver(StreamMessage message)
+{
+    if (const auto* credit = std::get_if<BodyCredit>(&message)) {
+        addCredit(credit->bytes);
+        return true;
+    }
+    return m_arrivals.try_send(ErrorCode(), std::move(message)) || !m_arrivals.is_open();
+}
+
+void QueuedStream::lose()
+{
+    {
+        std::lock_guard guard(m_lock);
+        m_closed = true;
+    }
+    m_arrivals.close();
+    m_creditAdded.close();
+}
+
+void QueuedStream::close() { lose(); }
+
+namespace {
+
+    // One end of a pair within a node.
+    class LocalStream final : public QueuedStream {
+    public:
+        LocalStream(boost::asio::io_context& context, Hello self)
+            : QueuedStream(context)
+            , m_self(std::move(self))
+        {
+        }
+
+        static void join(const std::shared_ptr<LocalStream>& left, const std::shared_ptr<LocalStream>& right)
+        {
+            left->m_other = right;
+            right->m_other = left;
+        }
+
+        bool send(StreamMessage message) override
+        {
+            const auto other = m_other.lock();
+            return other && other->deliver(std::move(message));
+        }
+
+        void close() override
+        {
+            lose();
+            if (const auto other = m_other.lock())
+                other->lose();
+        }
+
+        const Hello& peer() const override { return m_self; }
+
+    private:
+        Hello m_self;
+        std::weak_ptr<LocalStream> m_other;
+    };
+
+} // namespace
+
+std::pair<MessageStreamPointer, MessageStreamPointer> makeLocalStreams(
+    boost::asio::io_context& context, const Hello& self)
+{
+    const auto left = std::make_shared<LocalStream>(context, self);
+    const auto right = std::make_shared<LocalStream>(context, self);
+    LocalStream::join(left, right);
+    return { left, right };
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/peer/Streams.h
@@ -0,0 +1,45 @@
+/// Streams of messages: what those over a connection and those within a node have in common.
+#pragma once
+
+#include "peer/Peer.h"
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <mutex>
+
+namespace Vanillaridge {
+
+/// Keeps what has arrived until it is received, and the credit for bodies.
+class QueuedStream : public MessageStream, public std::enable_shared_from_this<QueuedStream> {
+public:
+    explicit QueuedStream(boost::asio::io_context&);
+
+    Task<std::optional<StreamMessage>> receive() override;
+    Task<bool> sendBody(BodyChunk) override;
+    void grantCredit(size_t bytes) override;
+    void close() override;
+
+    /// A message arrived for this stream. False when the other side sent more than it had credit for.
+    bool deliver(StreamMessage);
+    /// The connection is gone: what has arrived can still be received.
+    void lose();
+
+private:
+    using ErrorCode = boost::system::error_code;
+    using Arrivals = boost::asio::experimental::concurrent_channel<void(ErrorCode, StreamMessage)>;
+    using Signal = boost::asio::experimental::concurrent_channel<void(ErrorCode)>;
+
+    void addCredit(uint64_t bytes);
+
+    Arrivals m_arrivals;
+    Signal m_creditAdded;
+    std::mutex m_lock;
+    int64_t m_credit { initialBodyCredit };
+    bool m_closed { false };
+};
+
+/// A pair of streams that lead to each other, for a request whose backend server is beside the node it entered.
+std::pair<MessageStreamPointer, MessageStreamPointer> makeLocalStreams(boost::asio::io_context&, const Hello& self);
+
+} // namespace Vanillaridge
