Decide who may say what about a request

A caller must hear 'not run' only when that is true and stays true.

Answers and refusals now name their attempt and the run of the guard, a query names when its attempt was opened, and a Pong carries its sender's clock. Reasons message-too-old and memory-full are new.

--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -55,6 +55,8 @@
     Sharded<ServiceName, LocalServerRecord> localServers;
     Sharded<RequestId, EntryRecord> entries;
     Sharded<AttemptId, AttemptRecord> attempts;
+    Sharded<AttemptId, VerdictRecord> verdicts;
+    Sharded<DuplicateKey, DuplicateRecord> duplicates;
     ConfigurationFacts configuration;
     Outbox outbox;
     Counters counters;
@@ -80,6 +82,10 @@
 
 Sharded<AttemptId, AttemptRecord>& Board::attempts() { return m_facts->attempts; }
 
+Sharded<AttemptId, VerdictRecord>& Board::verdicts() { return m_facts->verdicts; }
+
+Sharded<DuplicateKey, DuplicateRecord>& Board::duplicates() { return m_facts->duplicates; }
+
 ConfigurationFacts& Board::configuration() { return m_facts->configuration; }
 
 Outbox& Board::outbox() { return m_facts->outbox; }
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -80,6 +80,8 @@
     Sharded<ServiceName, LocalServerRecord>& localServers();
     Sharded<RequestId, EntryRecord>& entries();
     Sharded<AttemptId, AttemptRecord>& attempts();
+    Sharded<AttemptId, VerdictRecord>& verdicts();
+    Sharded<DuplicateKey, DuplicateRecord>& duplicates();
     ConfigurationFacts& configuration();
     Outbox& outbox();
     Counters& counters();
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -55,6 +55,40 @@
 
 // --- Running requests ---------------------------------------------------------------------------------------------
 
+/// What a request waits for at the node where it entered.
+enum class EntryState : uint8_t {
+    /// Its next attempt, or the answer that has been decided on.
+    Decided,
+    /// Its attempt's answer.
+    Sent,
+    /// A verdict about its attempt; the answer may still come first.
+    Asking,
+    /// The rest of the answer.
+    Answering,
+};
+
+/// How an attempt ended that brought no whole answer.
+enum class AttemptEnd : uint8_t {
+    /// Nothing of it left this node.
+    NeverSent,
+    /// The guard refused it, and says that it has not started and will not.
+    RefusedNotStarted,
+    /// The guard refused it after it had started.
+    RefusedStarted,
+    /// The connection was lost before an answer began.
+    ConnectionLost,
+    /// Its time ran out before an answer began.
+    TimedOut,
+    /// The answer ended early, after its head was passed on.
+    AnswerCutShort,
+    /// The same, with what a verdict added.
+    ConnectionLostNotStarted,
+    ConnectionLostWithoutVerdict,
+    TimedOutNotStarted,
+    TimedOutWithoutVerdict,
+    Count,
+};
+
 /// A request that entered here and has no answer yet.
 struct EntryRecord {
     RequestContext context;
@@ -62,11 +96,32 @@
     /// The request whose backend server made this call; nothing for a caller's.
     std::optional<RequestId> parent;
     uint32_t retriesUsed { 0 };
+    /// Whether the body can be sent once more.
+    bool bodyReplayable { true };
+    EntryState state { EntryState::Decided };
+    /// While a verdict is asked for: how the attempt ended.
+    AttemptEnd doubt { AttemptEnd::ConnectionLost };
+    /// The run of the guard that has the present attempt.
+    BootId guard;
+    /// `sentAt` of the present attempt's OpenRequest.
+    Duration openedAt { 0 };
+    /// Why it is unknown whether an earlier attempt ran; None if no earlier one can have.
+    Reason mayHaveRun { Reason::None };
 };
 
 enum class AttemptState : uint8_t { Waiting, Started, Finished, Barred };
 
-/// An attempt at the backend server beside this node.
+/// What this node may say about an attempt that was sent to it. Outlives the attempt for as long as somebody may ask,
+/// or the message that opens it may still come.
+struct VerdictRecord {
+    AttemptState state { AttemptState::Waiting };
+    Instant deadline;
+    /// When it may be forgotten; meaningless while it waits or runs.
+    Instant forgetAt;
+    bool cancelled { false };
+};
+
+/// An attempt at the backend server beside this node, while it waits or runs.
 struct AttemptRecord {
     RequestContext context;
     AttemptState state { AttemptState::Waiting };
@@ -77,6 +132,23 @@
     bool cancelled { false };
 };
 
+/// Hash of an account's name and its caller's idempotency key.
+struct DuplicateKey {
+    uint64_t high { 0 };
+    uint64_t low { 0 };
+    auto operator<=>(const DuplicateKey&) const = default;
+};
+
+/// A request that came with an idempotency key.
+struct DuplicateRecord {
+    RequestId request;
+    bool answered { false };
+    /// Of the answer, when there was one; 0 otherwise.
+    uint16_t status { 0 };
+    /// When it may be forgotten; meaningless before it is answered.
+    Instant forgetAt;
+};
+
 // --- Configuration ------------------------------------------------------------------------------------------------
 
 /// What is known of how fresh the configuration in force is.
@@ -91,6 +163,9 @@
 
 } // namespace Vanillaridge
 
+template <> struct std::hash<Vanillaridge::DuplicateKey> {
+    size_t operator()(const Vanillaridge::DuplicateKey& key) const noexcept { return key.low; }
+};
 template <> struct std::hash<Vanillaridge::ServerKey> {
     size_t operator()(const Vanillaridge::ServerKey& key) const noexcept
     {
--- a/src/core/Core.cpp
+++ b/src/core/Core.cpp
@@ -189,6 +189,9 @@
         { Reason::AnswerCutShort, "answer-cut-short", 502, unknown, false, "the answer ended before it was whole" },
         { Reason::CallerGone, "caller-gone", 499, unknown, false, "the caller left before the answer" },
         { Reason::Internal, "internal", 500, unknown, false, "a fault of the system itself" },
+        { Reason::MessageTooOld, "message-too-old", 503, notRun, true,
+            "the request was on its way to the backend server's node for too long" },
+        { Reason::MemoryFull, "memory-full", 503, notRun, true, "no room to remember another request" },
     } };
 
 } // namespace
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -194,6 +194,8 @@
     AnswerCutShort,
     CallerGone,
     Internal,
+    MessageTooOld,
+    MemoryFull,
     Count,
 };
 constexpr size_t reasonCount = static_cast<size_t>(Reason::Count);
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -68,6 +68,9 @@
 
 /// The beginning of a backend server's answer.
 struct AnswerHead {
+    /// What this answers, and the run of the guard that does: compared before it is handed on.
+    AttemptId attempt;
+    BootId guard;
     uint16_t status { 0 };
     std::vector<HeaderField> headers;
     bool hasBody { false };
@@ -78,6 +81,8 @@
 
 /// The guard's own answer: the request has not run, or may have, as the reason says.
 struct Refusal {
+    AttemptId attempt;
+    BootId guard;
     Reason reason { Reason::Internal };
     /// Whether the backend server may have begun on it.
     bool started { false };
@@ -107,6 +112,8 @@
     AttemptId attempt;
     /// The run of the guard that the attempt was sent to.
     BootId guard;
+    /// `sentAt` of the attempt's OpenRequest. A guard says nothing of attempts older than its memory.
+    Duration openedAt { 0 };
 };
 
 enum class VerdictKind : uint8_t { NotStarted, Started, Unknown };
@@ -140,12 +147,12 @@
 /// Asks for a Pong, so that a silent connection is noticed.
 struct Ping {
     uint64_t sequence { 0 };
-    /// The sender's BootClock when it sent this.
-    Duration sentAt { 0 };
 };
 
 struct Pong {
     uint64_t sequence { 0 };
+    /// The sender's BootClock when it sent this; ties it to the receiver's anew.
+    Duration sentAt { 0 };
 };
 
 // --- Rates (over TCP) ---------------------------------------------------------------------------------------------
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -59,14 +59,14 @@
 
 template <typename Archive> void serialize(Archive& archive, AnswerHead& message)
 {
-    auto& [status, headers, hasBody, feedback, retriesUsed] = message;
-    archive(status, headers, hasBody, feedback, retriesUsed);
+    auto& [attempt, guard, status, headers, hasBody, feedback, retriesUsed] = message;
+    archive(attempt, guard, status, headers, hasBody, feedback, retriesUsed);
 }
 
 template <typename Archive> void serialize(Archive& archive, Refusal& message)
 {
-    auto& [reason, started, retryAfter, feedback, retriesUsed] = message;
-    archive(ranged(reason), started, retryAfter, feedback, retriesUsed);
+    auto& [attempt, guard, reason, started, retryAfter, feedback, retriesUsed] = message;
+    archive(attempt, guard, ranged(reason), started, retryAfter, feedback, retriesUsed);
 }
 
 template <typename Archive> void serialize(Archive& archive, BodyChunk& message)
@@ -89,8 +89,8 @@
 
 template <typename Archive> void serialize(Archive& archive, VerdictQuery& message)
 {
-    auto& [attempt, guard] = message;
-    archive(attempt, guard);
+    auto& [attempt, guard, openedAt] = message;
+    archive(attempt, guard, openedAt);
 }
 
 template <typename Archive> void serialize(Archive& archive, VerdictReply& message)
@@ -113,14 +113,14 @@
 
 template <typename Archive> void serialize(Archive& archive, Ping& message)
 {
-    auto& [sequence, sentAt] = message;
-    archive(sequence, sentAt);
+    auto& [sequence] = message;
+    archive(sequence);
 }
 
 template <typename Archive> void serialize(Archive& archive, Pong& message)
 {
-    auto& [sequence] = message;
-    archive(sequence);
+    auto& [sequence, sentAt] = message;
+    archive(sequence, sentAt);
 }
 
 template <typename Archive> void serialize(Archive& archive, QuotaPull& message)
