--- a/src/admission/Admission.h
+++ b/src/admission/Admission.h
@@ -35,7 +35,7 @@
 };
 
 /// How an admitted attempt ended, as far as load is concerned.
-enum class AttemptEnd : uint8_t {
+enum class AdmittedEnd : uint8_t {
     /// The backend server answered.
     Served,
     /// It failed for a cause other than load.
@@ -62,7 +62,7 @@
     /// as Duplicate.
     AdmissionDecision offer(const RequestContext&, Instant deadline);
     /// Frees the slot of an admitted attempt; unknown attempts are ignored. Call settle() next.
-    void finished(std::string_view service, const AttemptId&, AttemptEnd);
+    void finished(std::string_view service, const AttemptId&, AdmittedEnd);
     /// The caller has left while its attempt waits: no change will be reported for it.
     void abandon(std::string_view service, const AttemptId&);
     /// Decides on waiting attempts: which of them start, and which are refused. To be called after finished() and
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -83,6 +83,8 @@
     Sharded<RouteName, RouteCallsRecord>& routeCalls();
     Sharded<RequestId, EntryRecord>& entries();
     Sharded<AttemptId, AttemptRecord>& attempts();
+    Sharded<AttemptId, VerdictRecord>& verdicts();
+    Sharded<DuplicateKey, DuplicateRecord>& duplicates();
     ConfigurationFacts& configuration();
     Outbox& outbox();
     Counters& counters();
