Add membership, announcements and freshness, and the interface of dissemination

Members probe each other at random; changes travel on the probes, and a digest exchange finds what was missed.

--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -87,6 +87,16 @@
     /// When somebody read that number from the platform, as far as this node knows.
     Instant confirmedAt;
     bool platformReachable { false };
+    /// A member that has the newest number, to fetch it from.
+    Endpoint newestFrom;
+    /// Since when a newer configuration than the one in force has been known; the epoch when there is none.
+    Instant behindSince;
+    /// When this node started, or came back from its latest pause.
+    Instant resumedAt;
+    /// Share of the known members that can be reached, from 0 to 1, as far as probes tell.
+    double reachableShare { 0 };
+    /// Whether a member has answered since resumedAt, or there is none to answer.
+    bool viewRefreshed { false };
 };
 
 } // namespace Vanillaridge
--- /dev/null
+++ b/src/dissemination/Dissemination.cpp
@@ -0,0 +1,1 @@
+#include "dissemination/Dissemination.h"
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -151,7 +151,8 @@
     bool operator==(const ServerAnnouncement&) const = default;
 };
 
-/// What one node says of itself, as others pass it on.
+/// What one node says of itself, as others pass it on. An update with an empty zone tells the state only: zone, servers
+/// and quota slots are those of the version and boot that it names.
 struct MemberUpdate {
     Endpoint endpoint;
     ZoneName zone;
@@ -177,6 +178,7 @@
 
 /// Are you there? Sent to the receiver itself, or on behalf of somebody who got no answer.
 struct Probe {
+    /// 0 when no acknowledgement is wanted: the message then only spreads what it carries.
     uint64_t sequence { 0 };
     /// Empty, or the member to probe for the sender.
     Endpoint target;
@@ -192,7 +194,8 @@
     std::vector<MemberUpdate> updates;
 };
 
-/// Hash of everything the sender knows about each bucket of members, for finding what was missed.
+/// Hash of everything the sender knows about each bucket of members, for finding what was missed. Each number holds the
+/// hashes of two buckets.
 struct MemberDigest {
     std::vector<uint64_t> buckets;
     /// Whether the receiver should answer with its own.
@@ -219,12 +222,19 @@
 /// Asks a peer for the list of sections of an accepted configuration.
 struct SectionListRequest {
     uint64_t number { 0 };
+    /// Number of the configuration that the asker holds, so that only the difference has to be told; 0 for none.
+    uint64_t base { 0 };
 };
 
 struct SectionList {
     uint64_t number { 0 };
     uint64_t contentHash { 0 };
+    /// Every section, or with a base those that are new or changed since.
     std::vector<SectionReference> sections;
+    /// 0, or the asker's number that the list is a difference from.
+    uint64_t base { 0 };
+    /// Names of the base's sections that are gone.
+    std::vector<std::string> removed;
 };
 
 /// Asks a peer for sections by their content.
@@ -247,4 +257,9 @@
 /// Whether a message goes as one datagram; the others go over a connection.
 bool isDatagram(const ControlMessage&);
 
+/// Bytes of an update as encoded; a controller fills its datagrams by it.
+size_t estimatedSize(const MemberUpdate&);
+/// Bytes of a whole message as encoded, with its header and MAC.
+size_t estimatedSize(const ControlMessage&);
+
 } // namespace Vanillaridge
