--- a/src/node/Replies.cpp
+++ b/src/node/Replies.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-constexpr uint16_t unauthorized = 401;
-constexpr uint16_t tooManyRequests = 429;
-constexpr uint16_t unavailable = 503;
+    constexpr uint16_t unauthorized = 401;
+    constexpr uint16_t tooManyRequests = 429;
+    constexpr uint16_t unavailable = 503;
 
-bool mayComeAgain(uint16_t status) { return status == tooManyRequests || status == unavailable; }
+    bool mayComeAgain(uint16_t status) { return status == tooManyRequests || status == unavailable; }
 
 } // namespace
 
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <cstring>
 
 namespace Vanillaridge {
@@ -152,6 +153,7 @@
     if (!answer)
         co_return false;
     m_clockOfPeer.emplace(m_challengedAt, m_peers->clock.now(), answer->sentAt);
+    m_pingedAt = m_peers->clock.now();
     m_stream.expires_never();
     co_return true;
 }
@@ -309,17 +311,14 @@
     }
 }
 
-Duration Connection::ageBound(Duration stamp) const { return m_clockOfPeer->ageBound(stamp, m_peers->clock.now()); }
-
 // Sorts a message to whom it is for. What belongs to a stream that has ended here is late, and is dropped.
 void Connection::handle(Frame frame)
 {
     auto& message = frame.message;
     if (const auto* ping = std::get_if<Ping>(&message)) {
-        send(controlStream, Pong { ping->sequence });
+        send(controlStream, Pong { ping->sequence, stampOf(m_peers->clock.now()) });
     } else if (const auto* pong = std::get_if<Pong>(&message)) {
-        if (m_unansweredPing == pong->sequence)
-            m_unansweredPing.reset();
+        handle(*pong);
     } else if (auto* control = std::get_if<ControlMessage>(&message)) {
         m_usedAt = m_peers->clock.now();
         m_peers->handler.control(peer().endpoint, *control);
@@ -344,10 +343,10 @@
 
     // The stream ends with its handler, however that ends.
     Task<void> serveStream(
-        std::shared_ptr<PeerContext> peers, MessageStreamPointer stream, OpenRequest request, Duration ageBound)
+        std::shared_ptr<PeerContext> peers, MessageStreamPointer stream, OpenRequest request, PeerClock clock)
     {
         try {
-            co_await peers->handler.serve(stream, std::move(request), ageBound);
+            co_await peers->handler.serve(stream, std::move(request), clock);
         } catch (const std::exception& error) {
             log(LogLevel::Error, "request-handler-failed", { { "error", error.what() } });
         }
@@ -365,14 +364,13 @@
             return;
     }
     m_usedAt = m_peers->clock.now();
-    const auto age = ageBound(request.sentAt);
     boost::asio::co_spawn(boost::asio::make_strand(m_peers->context),
-        serveStream(m_peers, stream, std::move(request), age), boost::asio::detached);
+        serveStream(m_peers, stream, std::move(request), *m_clockOfPeer), boost::asio::detached);
 }
 
 void Connection::handle(uint64_t number, const VerdictQuery& query)
 {
-    send(number, m_peers->handler.verdict(query, peer(), ageBound(query.openedAt)));
+    send(number, m_peers->handler.verdict(query, peer(), *m_clockOfPeer));
 }
 
 // --- Streams --------------------------------------------------------------------------------------------------------
@@ -428,14 +426,28 @@
         // 2. Requests wait on a silent connection.
         if (m_unansweredPing && now - m_pingedAt > settings.pingTimeout) {
             becomeLost();
-        } else if (!m_unansweredPing && silentFor(settings.pingAfter)) {
-            m_unansweredPing = ++m_pings;
-            m_pingedAt = now;
-            send(controlStream, Ping { m_pings, stampOf(now) });
+        } else if (!m_unansweredPing && (silentFor(settings.pingAfter) || now - m_pingedAt > settings.clockPeriod)) {
+            ping(now);
         }
     }
 }
 
+void Connection::ping(Instant now)
+{
+    m_unansweredPing = ++m_pings;
+    m_pingedAt = now;
+    send(controlStream, Ping { m_pings });
+}
+
+// Also ties the peer's clock to ours anew, so that what bounds the age of its messages does not drift away.
+void Connection::handle(const Pong& pong)
+{
+    if (m_unansweredPing != pong.sequence)
+        return;
+    m_unansweredPing.reset();
+    m_clockOfPeer->refresh(m_pingedAt, m_peers->clock.now(), pong.sentAt);
+}
+
 // --- Writing --------------------------------------------------------------------------------------------------------
 
 bool Connection::send(uint64_t stream, const StreamMessage& message)
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -74,7 +74,8 @@
     void wake(std::vector<std::shared_ptr<Waiter>>);
     bool silentFor(Duration) const;
     size_t streamCount();
-    Duration ageBound(Duration stamp) const;
+    void handle(const Pong&);
+    void ping(Instant now);
 
     const std::shared_ptr<PeerContext> m_peers;
     Strand m_strand;
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
 
 namespace Vanillaridge {
 
@@ -31,6 +32,13 @@
         return Tcp::endpoint(address, static_cast<uint16_t>(std::atoi(endpoint.c_str() + colon + 1)));
     }
 
+    // A node's own messages are stamped by the clock that reads them.
+    PeerClock ownClock(const Clock& clock)
+    {
+        const auto now = clock.now();
+        return { now, now, now.time_since_epoch() };
+    }
+
     PeerError peerErrorOf(const ErrorCode& error)
     {
         return error == boost::asio::error::address_in_use ? PeerError::AddressInUse : PeerError::Other;
@@ -280,7 +288,7 @@
             [](std::shared_ptr<PeerContext> peers, MessageStreamPointer stream) -> Task<void> {
                 auto first = co_await stream->receive();
                 if (auto* request = first ? std::get_if<OpenRequest>(&*first) : nullptr)
-                    co_await peers->handler.serve(stream, std::move(*request), Duration(0));
+                    co_await peers->handler.serve(stream, std::move(*request), ownClock(peers->clock));
             }(self->peers, guard),
             boost::asio::detached);
         co_return entry;
@@ -306,7 +314,7 @@
     // 1. The judge of what ran here is this node itself.
     const auto self = m_implementation;
     if (endpoint == self->peers->board.self().endpoint)
-        co_return self->peers->handler.verdict(query, self->peers->hello(), Duration(0));
+        co_return self->peers->handler.verdict(query, self->peers->hello(), ownClock(self->peers->clock));
 
     // 2. A connection of its own: the one that the request went by may be the fault.
     const auto connection = std::make_shared<Connection>(self->peers);
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -48,9 +48,9 @@
 class PeerHandler {
 public:
     virtual ~PeerHandler() = default;
-    /// Serves a request that another node opened. `ageBound` says how long ago, at most, it was sent.
-    virtual Task<void> serve(MessageStreamPointer, OpenRequest, Duration ageBound) = 0;
-    virtual VerdictReply verdict(const VerdictQuery&, const Hello& sender, Duration openAgeBound) = 0;
+    /// Serves a request that another node opened, whose clock tells how old the message may be.
+    virtual Task<void> serve(MessageStreamPointer, OpenRequest, PeerClock) = 0;
+    virtual VerdictReply verdict(const VerdictQuery&, const Hello& sender, const PeerClock&) = 0;
     virtual void control(const Endpoint& from, const ControlMessage&) = 0;
 };
 
@@ -60,6 +60,8 @@
     /// A connection that requests wait on is pinged after so much silence, and given up after so much more.
     Duration pingAfter { milliseconds(500) };
     Duration pingTimeout { seconds(1) };
+    /// How often a connection in use ties the other side's clock to ours anew.
+    Duration clockPeriod { seconds(30) };
     /// A connection without requests is closed after so long.
     Duration idleTimeout { seconds(60) };
 };
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -47,8 +47,11 @@
 
 template <typename Archive> void serialize(Archive& archive, RequestContext& context)
 {
-    auto& [attempt, account, route, service, importance, idempotent, remaining, retriesLeft, depth, treeHash] = context;
-    archive(attempt, account, route, service, ranged(importance), idempotent, remaining, retriesLeft, depth, treeHash);
+    auto& [attempt, account, route, service, importance, idempotent, remaining, retriesLeft, depth, treeHash,
+        represents]
+        = context;
+    archive(attempt, account, route, service, ranged(importance), idempotent, remaining, retriesLeft, depth, treeHash,
+        represents);
 }
 
 template <typename Archive> void serialize(Archive& archive, OpenRequest& message)
@@ -125,8 +128,8 @@
 
 template <typename Archive> void serialize(Archive& archive, QuotaPull& message)
 {
-    auto& [pull, account, wanted, configuration] = message;
-    archive(pull, account, wanted, configuration);
+    auto& [pull, account, slot, wanted, configuration] = message;
+    archive(pull, account, slot, wanted, configuration);
 }
 
 template <typename Archive> void serialize(Archive& archive, QuotaGrant& message)
@@ -185,14 +188,14 @@
 
 template <typename Archive> void serialize(Archive& archive, SectionListRequest& message)
 {
-    auto& [number] = message;
-    archive(number);
+    auto& [number, base] = message;
+    archive(number, base);
 }
 
 template <typename Archive> void serialize(Archive& archive, SectionList& message)
 {
-    auto& [number, contentHash, sections] = message;
-    archive(number, contentHash, sections);
+    auto& [number, contentHash, sections, base, removed] = message;
+    archive(number, contentHash, sections, base, removed);
 }
 
 template <typename Archive> void serialize(Archive& archive, SectionRequest& message)
