--- a/src/membership/Exchange.cpp
+++ b/src/membership/Exchange.cpp
@@ -17,6 +17,62 @@
 
     size_t sizeOf(const std::optional<MemberUpdate>& update) { return update ? estimatedSize(*update) : 0; }
 
+    // Fills datagrams with buckets. One that does not fit into a datagram is sent in pieces, and not named as whole.
+    class BucketWriter {
+    public:
+        explicit BucketWriter(size_t limit)
+            : m_limit(limit)
+        {
+        }
+
+        size_t datagrams() const { return m_messages.size(); }
+
+        void add(uint32_t bucket, std::vector<MemberUpdate> updates)
+        {
+            auto size = sizeof(bucket);
+            for (const auto& update : updates)
+                size += estimatedSize(update);
+            if (m_size + size > m_limit)
+                flush();
+            if (m_size + size <= m_limit) {
+                m_message.buckets.push_back(bucket);
+                m_size += sizeof(bucket);
+            }
+            for (auto& update : updates)
+                add(std::move(update));
+        }
+
+        std::vector<MemberBuckets> finish()
+        {
+            flush();
+            return std::move(m_messages);
+        }
+
+    private:
+        void add(MemberUpdate update)
+        {
+            const auto size = estimatedSize(update);
+            if (m_size + size > m_limit)
+                flush();
+            m_message.updates.push_back(std::move(update));
+            m_size += size;
+        }
+
+        void flush()
+        {
+            if (!m_message.buckets.empty() || !m_message.updates.empty())
+                m_messages.push_back(std::exchange(m_message, { {}, {}, true }));
+            m_size = emptySize();
+        }
+
+        static size_t emptySize() { return estimatedSize(ControlMessage(MemberBuckets())); }
+
+        const size_t m_limit;
+        size_t m_size { emptySize() };
+        MemberBuckets m_message { {}, {}, true };
+        std::vector<MemberBuckets> m_messages;
+    };
+
 } // namespace
 
 void Membership::State::send(const Endpoint& to, ControlMessage message, Effects& effects)
@@ -168,6 +224,8 @@
 void Membership::State::handle(const Endpoint& from, const MemberDigest& digest, Instant now, Effects& effects)
 {
     notePause(now);
+    if (distrusts(now))
+        return;
     hear(from, digest.news, std::nullopt);
     if (digest.buckets.size() != bucketCount / 2 || !digest.wantsReply)
         return;
@@ -180,55 +238,30 @@
         sendBuckets(from, differing, effects);
 }
 
-// Sends whole buckets, from a random one on, as many as fit into a few datagrams. A bucket that does not fit into one
-// is sent in pieces, which are not named as whole.
+// Sends differing buckets, from a random one on, as many as fit into a few datagrams.
 void Membership::State::sendBuckets(const Endpoint& to, std::span<const uint32_t> differing, Effects& effects)
 {
+    BucketWriter writer(settings.datagramLimit);
     const auto first = random.below(differing.size());
-    MemberBuckets message;
-    message.wantsReply = true;
-    auto size = estimatedSize(ControlMessage(message));
-    const auto emptySize = size;
-    size_t sent = 0;
-    const auto flush = [&] {
-        send(to, std::exchange(message, MemberBuckets { {}, {}, true }), effects);
-        size = emptySize;
-        ++sent;
-    };
-    for (size_t i = 0; i < differing.size() && sent < datagramsPerExchange; ++i) {
+    for (size_t i = 0; i < differing.size() && writer.datagrams() < datagramsPerExchange; ++i) {
         const auto bucket = differing[(first + i) % differing.size()];
         std::vector<MemberUpdate> updates;
-        auto bucketSize = sizeof(uint32_t);
         for (const auto member : table.bucket(bucket)) {
-            auto update = table.update(member, true);
-            if (update && !isLive(update->state))
-                update = table.update(member, false);
-            bucketSize += sizeOf(update);
-            if (update)
+            const auto state = table.state(member);
+            if (auto update = table.update(member, state && isLive(*state)))
                 updates.push_back(std::move(*update));
         }
-        if (size > emptySize && size + bucketSize > settings.datagramLimit)
-            flush();
-        const auto isWhole = emptySize + bucketSize <= settings.datagramLimit;
-        if (isWhole) {
-            message.buckets.push_back(bucket);
-            size += sizeof(uint32_t);
-        }
-        for (auto& update : updates) {
-            const auto updateSize = estimatedSize(update);
-            if (!message.updates.empty() && size + updateSize > settings.datagramLimit)
-                flush();
-            message.updates.push_back(std::move(update));
-            size += updateSize;
-        }
+        writer.add(bucket, std::move(updates));
     }
-    if (size > emptySize)
-        flush();
+    for (auto& message : writer.finish())
+        send(to, std::move(message), effects);
 }
 
 void Membership::State::handle(const Endpoint& from, const MemberBuckets& message, Instant now, Effects& effects)
 {
     notePause(now);
+    if (distrusts(now))
+        return;
     // Nothing differed: this node knows what the other does.
     if (message.buckets.empty() && message.updates.empty()) {
         if (table.live().size() > 0)
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -74,7 +74,8 @@
 }
 
 // After a pause nothing that was waited for means anything, and the view is old. After a long one it may hold members
-// that everybody else has forgotten; it must not bring them back.
+// that everybody else has forgotten; it must not bring them back, and neither may messages from before: none is heeded
+// until a new probe is answered, since answers queue up behind them.
 void Membership::State::notePause(Instant now)
 {
     const auto gap = now - lastTick;
@@ -91,6 +92,7 @@
         record.resumedAt = now;
         record.viewRefreshed = false;
     });
+    distrustUntil = now + 2 * settings.probeTimeout;
     if (gap > settings.tombstoneTerm / 2)
         forgetFleet();
     startJoining(now);
--- a/src/membership/MembershipState.h
+++ b/src/membership/MembershipState.h
@@ -35,6 +35,8 @@
     // Lifecycle, in Membership.cpp.
     void tick(Instant now, Effects&);
     void notePause(Instant now);
+    // Whether a message may be older than the latest pause: it may have waited in the socket's buffer.
+    bool distrusts(Instant now) const { return now < distrustUntil; }
     void forgetFleet();
     void startJoining(Instant now);
     bool joining(Instant now) const { return now < joinUntil; }
@@ -104,6 +106,7 @@
     Instant nextDigest;
     Instant nextSweep;
     Instant joinUntil;
+    Instant distrustUntil;
     Duration contactPeriod { 0 };
     // Smoothed share of own probes that were answered, and since when it has been too low to trust oneself.
     double answeredShare;
--- a/src/membership/Probing.cpp
+++ b/src/membership/Probing.cpp
@@ -15,6 +15,8 @@
     constexpr double massSuspicionShare = 1.0 / 3;
     constexpr size_t massSuspicionMinimum = 8;
     constexpr int massSuspicionFactor = 6;
+    // Draws made to find each helper.
+    constexpr uint32_t triesPerHelper = 3;
 
 } // namespace
 
@@ -81,10 +83,12 @@
 
 void Membership::State::askHelpers(uint64_t sequence, const PendingProbe& probe, Effects& effects)
 {
-    for (uint32_t i = 0; i < settings.helpers; ++i) {
+    std::vector<NodeId> asked { *probe.target };
+    for (uint32_t tries = 0; tries < triesPerHelper * settings.helpers && asked.size() <= settings.helpers; ++tries) {
         const auto helper = table.live().draw(random);
-        if (!helper || helper == probe.target)
+        if (!helper || std::find(asked.begin(), asked.end(), *helper) != asked.end())
             continue;
+        asked.push_back(*helper);
         if (const auto endpoint = table.endpoint(*helper))
             send(*endpoint, Probe { sequence, probe.endpoint, news(), {} }, effects);
     }
@@ -183,6 +187,8 @@
 void Membership::State::handle(const Endpoint& from, const Probe& probe, Instant now, Effects& effects)
 {
     notePause(now);
+    if (distrusts(now))
+        return;
     mergeAll(probe.updates, now, effects);
     hear(from, probe.news, std::nullopt);
     table.heard(NodeId::of(from), now);
@@ -201,10 +207,14 @@
     const Endpoint& from, const ProbeAcknowledgement& acknowledgement, Instant now, Effects& effects)
 {
     notePause(now);
-    mergeAll(acknowledgement.updates, now, effects);
     const auto own = pending.find(acknowledgement.sequence);
     const auto isOwn = own != pending.end()
         && (acknowledgement.target.empty() ? from : acknowledgement.target) == own->second.endpoint;
+    if (isOwn)
+        distrustUntil = now;
+    if (distrusts(now))
+        return;
+    mergeAll(acknowledgement.updates, now, effects);
     hear(from, acknowledgement.news, isOwn ? std::optional(own->second.sentAt) : std::nullopt);
     if (isOwn) {
         const auto probe = own->second;
