--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -63,6 +63,7 @@
     Outbox outbox;
     Counters counters;
     std::atomic<bool> draining { false };
+    std::atomic<bool> refusesAttempts { false };
 };
 
 Board::Board(Identity identity)
@@ -102,4 +103,8 @@
 
 void Board::startDraining() { m_facts->draining.store(true, std::memory_order_relaxed); }
 
+bool Board::refusesAttempts() const { return m_facts->refusesAttempts.load(std::memory_order_relaxed); }
+
+void Board::startRefusingAttempts() { m_facts->refusesAttempts.store(true, std::memory_order_relaxed); }
+
 } // namespace Vanillaridge
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -89,9 +89,12 @@
     Outbox& outbox();
     Counters& counters();
 
-    /// Whether this node is leaving: it takes no new requests and gives up its duties.
+    /// Whether this node is leaving: its backend servers are announced as draining, and it gives up its duties.
     bool draining() const;
     void startDraining();
+    /// Whether it has been leaving for long enough that others know: it takes no new attempts.
+    bool refusesAttempts() const;
+    void startRefusingAttempts();
 
 private:
     struct Facts;
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -66,6 +66,8 @@
     bool hasBody { false };
     /// The sender's BootClock when it sent this; with the handshake it bounds the message's age.
     Duration sentAt { 0 };
+    /// Bytes of the body, when known beforehand.
+    std::optional<uint64_t> contentLength {};
 };
 
 /// The beginning of a backend server's answer.
@@ -79,6 +81,8 @@
     LoadFeedback feedback;
     /// Retries of the request that its calls have used.
     uint32_t retriesUsed { 0 };
+    /// Bytes of the body, when known beforehand.
+    std::optional<uint64_t> contentLength {};
 };
 
 /// The guard's own answer: the request has not run, or may have, as the reason says.
--- /dev/null
+++ b/src/node/EntryRequest.cpp
@@ -0,0 +1,427 @@
+#include "node/EntryRequest.h"
+
+#include "node/Replies.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+
+namespace Vanillaridge {
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+
+namespace {
+
+constexpr std::string_view bearerScheme = "Bearer ";
+constexpr uint16_t noStatus = 0;
+
+// The key of an Authorization header; nothing when there is none.
+std::optional<std::string_view> keyOf(const RequestHead& head)
+{
+    const auto value = head.header("Authorization");
+    if (value.size() <= bearerScheme.size() || !sameHeader(value.substr(0, bearerScheme.size()), bearerScheme))
+        return std::nullopt;
+    return value.substr(bearerScheme.size());
+}
+
+std::optional<Duration> remainingOf(const RequestHead& head)
+{
+    const auto text = head.header(remainingHeader);
+    uint32_t count = 0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (text.empty() || error != std::errc() || stop != text.data() + text.size())
+        return std::nullopt;
+    return milliseconds(count);
+}
+
+} // namespace
+
+EntryRequest::EntryRequest(Parts& parts, std::shared_ptr<HttpExchange> exchange, std::optional<AttemptId> parent)
+    : m_parts(parts)
+    , m_exchange(std::move(exchange))
+    , m_parent(parent)
+    , m_receivedAt(parts.clock.now())
+    , m_deadline(m_exchange->strand())
+{
+}
+
+Task<void> EntryRequest::run()
+{
+    const auto self = shared_from_this();
+    m_parts.board.counters().add(Counter::RequestsReceived);
+
+    // 1. Who it is for and what it is worth.
+    m_decision = decide();
+    if (m_decision.reason != Reason::None) {
+        co_await refuse(m_decision.reason, m_decision.retryAfter);
+        co_return;
+    }
+
+    // 2. Whether it may go on now.
+    const auto gate = co_await passGates();
+    if (gate != Reason::None) {
+        co_await refuse(gate, m_decision.retryAfter);
+        close(row(gate).outcome, noStatus);
+        co_return;
+    }
+
+    // 3. Attempts, until there is an answer.
+    open();
+    co_await serve();
+    m_deadline.cancel();
+    co_await m_body->join();
+}
+
+// --- Before the first attempt ---------------------------------------------------------------------------------------
+
+EntryDecision EntryRequest::decide()
+{
+    const auto& head = m_exchange->head();
+    IncomingRequest request;
+    request.method = head.method;
+    request.path = head.path();
+    request.key = keyOf(head);
+    request.remaining = remainingOf(head);
+    request.importance = importanceFromText(head.header(importanceHeader));
+    request.bodyBytes = head.contentLength;
+    m_key = std::string(request.key.value_or(""));
+    m_idempotencyKey = std::string(head.header("Idempotency-Key"));
+
+    // A key in the target would be passed on, and written into logs on its way.
+    if (targetCarriesKey(head.target, m_key) || head.method == "CONNECT") {
+        EntryDecision refused;
+        refused.reason = Reason::BadRequest;
+        return refused;
+    }
+    return m_parent ? m_parts.control.entry.decideCall(request, *m_parent) : m_parts.control.entry.decide(request);
+}
+
+Task<Reason> EntryRequest::passGates()
+{
+    // 1. Has it come before?
+    const auto repeated = claimIdempotencyKey();
+    if (repeated != Reason::None)
+        co_return repeated;
+
+    // 2. Would it be shed further down?
+    if (m_parts.control.placement.shedAtEntry(m_decision.context)) {
+        m_decision.retryAfter = m_parts.control.retry.retryAfter(service(), Reason::ShedAtEntry);
+        co_return Reason::ShedAtEntry;
+    }
+
+    // 3. Is it within the account's rate? Calls further down are part of a request that was counted.
+    if (!m_parent && !m_decision.context.account.empty())
+        co_return co_await takeToken();
+    co_return Reason::None;
+}
+
+Reason EntryRequest::claimIdempotencyKey()
+{
+    if (m_idempotencyKey.empty() || m_parent)
+        return Reason::None;
+    const auto earlier = m_parts.control.duplicates.begin(m_decision.context.account, m_idempotencyKey, id());
+    if (earlier.kind == DuplicateKind::NoRoom)
+        return Reason::MemoryFull;
+    m_claimed = earlier.kind == DuplicateKind::First;
+    return m_claimed ? Reason::None : Reason::Duplicate;
+}
+
+// Waits, if the quota says so, until tokens on their way arrive; the quota bounds the wait.
+Task<Reason> EntryRequest::takeToken()
+{
+    using Answer = boost::asio::experimental::concurrent_channel<void(boost::system::error_code, QuotaDecision)>;
+    const auto answer = std::make_shared<Answer>(m_parts.context, 1);
+    auto decision = m_parts.control.quota.take(m_decision.context.account,
+        [answer](const QuotaDecision& decided) { answer->try_send(boost::system::error_code(), decided); });
+    if (decision.answer == QuotaAnswer::Pending) {
+        boost::system::error_code error;
+        decision = co_await answer->async_receive(redirect_error(use_awaitable, error));
+    }
+    if (decision.answer != QuotaAnswer::Admitted) {
+        m_decision.retryAfter = decision.retryAfter;
+        co_return Reason::OverRate;
+    }
+    m_token = decision;
+    co_return Reason::None;
+}
+
+void EntryRequest::open()
+{
+    std::optional<RequestId> parent;
+    if (m_parent) {
+        parent = m_parent->request;
+        m_parts.board.attempts().visit(
+            *m_parent, [&](const AttemptRecord& record) { m_parentRoute = record.context.route; });
+    }
+    m_parts.control.entryLedger.open(m_decision.context, m_decision.deadline, parent, true);
+    m_parts.control.retry.noteFirstTry(service());
+    m_body = std::make_shared<RequestBody>(m_parts.context, m_exchange, m_decision.route->bodyLimit);
+    watch();
+}
+
+// The deadline and the caller's leaving end whatever is under way.
+void EntryRequest::watch()
+{
+    m_deadline.expires_after(m_decision.deadline - m_parts.clock.now());
+    m_deadline.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        self->m_timedOut = true;
+        self->cancelAttempt(Reason::Timeout);
+    });
+    if (!m_exchange->head().hasBody) {
+        m_exchange->onCallerGone([weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->m_callerGone = true;
+            self->cancelAttempt(Reason::CallerGone);
+        });
+    }
+}
+
+void EntryRequest::cancelAttempt(Reason reason)
+{
+    if (!m_stream)
+        return;
+    m_stream->send(CancelRequest { reason });
+    m_stream->close();
+}
+
+// --- Attempts -------------------------------------------------------------------------------------------------------
+
+Task<void> EntryRequest::serve()
+{
+    Reason lastReason = Reason::NoServer;
+    Duration retryAfter(0);
+    while (true) {
+        // 1. A server that has not been tried.
+        const auto choice = m_parts.control.placement.choose(service(), m_tried);
+        if (!choice) {
+            co_await refuse(lastReason, retryAfter);
+            close(row(lastReason).outcome, noStatus);
+            co_return;
+        }
+        m_tried.push_back(choice->server.node);
+
+        // 2. One attempt at it.
+        Attempt attempt { *choice, {}, m_parts.clock.now(), 0, std::nullopt, std::nullopt, Duration(0), Reason::None };
+        const auto decision = co_await makeAttempt(attempt);
+        conclude(attempt);
+        if (decision.step == NextStep::TryAnotherServer) {
+            m_parts.board.counters().add(Counter::RetriesSpent);
+            m_parts.board.counters().addRetry(decision.reason);
+            lastReason = decision.reason;
+            retryAfter = attempt.retryAfter;
+            co_await m_body->join();
+            continue;
+        }
+
+        // 3. Its end.
+        if (decision.reason == Reason::None) {
+            close(Outcome::Served, m_answerStatus);
+        } else if (decision.step == NextStep::AbortAnswer) {
+            m_parts.board.counters().addRefusal(decision.reason);
+            m_exchange->abort();
+            close(Outcome::Unknown, noStatus);
+        } else {
+            co_await refuse(decision.reason, attempt.retryAfter);
+            close(row(decision.reason).outcome, noStatus);
+        }
+        co_return;
+    }
+}
+
+Task<Decision> EntryRequest::makeAttempt(Attempt& attempt)
+{
+    auto& control = m_parts.control;
+    control.placement.began(attempt.choice);
+    m_stream = co_await m_parts.peers.open(attempt.choice.endpoint);
+    const auto guard = m_stream ? m_stream->peer().boot : BootId {};
+    const auto begun = control.entryLedger.beginAttempt(id(), guard, attempt.sentAt.time_since_epoch());
+    if (!begun)
+        co_return Decision { NextStep::AnswerCaller, Reason::Internal };
+    attempt.id = *begun;
+    attempt.lent = control.retry.lendToAttempt(id());
+    if (!m_stream || m_timedOut) {
+        attempt.usedBelow = 0;
+        co_return co_await endWithoutAnswer(attempt, AttemptEnd::NeverSent);
+    }
+    sendOpen(attempt);
+    const auto decision = co_await awaitAnswer(attempt);
+    m_stream->close();
+    co_return decision;
+}
+
+void EntryRequest::sendOpen(Attempt& attempt)
+{
+    OpenRequest open;
+    open.context = m_decision.context;
+    open.context.attempt = attempt.id;
+    open.context.remaining = m_decision.deadline - m_parts.clock.now();
+    open.context.retriesLeft = attempt.lent;
+    const auto& head = m_exchange->head();
+    open.method = head.method;
+    open.target = head.target;
+    open.headers = headersForBackend(head.headers, m_key);
+    open.hasBody = head.hasBody;
+    open.sentAt = attempt.sentAt.time_since_epoch();
+    m_stream->send(std::move(open));
+    if (head.hasBody)
+        m_body->startSending(m_stream);
+}
+
+Task<Decision> EntryRequest::awaitAnswer(Attempt& attempt)
+{
+    while (true) {
+        auto message = co_await m_stream->receive();
+        if (!message)
+            co_return co_await endWithoutAnswer(
+                attempt, m_timedOut ? AttemptEnd::TimedOut : AttemptEnd::ConnectionLost);
+        if (auto* head = std::get_if<AnswerHead>(&*message)) {
+            if (m_parts.control.entryLedger.takeAnswer(*head))
+                co_return co_await passAnswer(attempt, std::move(*head));
+        } else if (const auto* refusal = std::get_if<Refusal>(&*message)) {
+            co_return takeRefusal(attempt, *refusal);
+        }
+    }
+}
+
+Decision EntryRequest::takeRefusal(Attempt& attempt, const Refusal& refusal)
+{
+    attempt.usedBelow = refusal.retriesUsed;
+    attempt.feedback = refusal.feedback;
+    attempt.reason = refusal.reason;
+    attempt.retryAfter = refusal.retryAfter;
+    m_parts.control.retry.collect(id(), attempt.lent, attempt.usedBelow);
+    const auto decision = m_parts.control.entryLedger.refused(refusal, mayRetry(refusal.reason));
+    return decision.value_or(Decision { NextStep::AnswerCaller, Reason::Internal });
+}
+
+// Asks the guard before anything is said or tried again, where the guard can know.
+Task<Decision> EntryRequest::endWithoutAnswer(Attempt& attempt, AttemptEnd end)
+{
+    auto& control = m_parts.control;
+    control.retry.collect(id(), attempt.lent, attempt.usedBelow);
+
+    // 1. What the end alone says.
+    attempt.reason = end == AttemptEnd::NeverSent ? Reason::PeerUnreachable
+        : end == AttemptEnd::TimedOut             ? Reason::Timeout
+                                                  : Reason::ConnectionLost;
+    const bool again = end != AttemptEnd::TimedOut && mayRetry(attempt.reason);
+    auto decision = control.entryLedger.ended(attempt.id, end, again);
+    if (!decision)
+        co_return Decision { NextStep::AnswerCaller, Reason::Internal };
+    if (decision->step != NextStep::AskForVerdict)
+        co_return *decision;
+
+    // 2. What the guard says, over a fresh connection.
+    const auto query = control.entryLedger.verdictQuery(attempt.id);
+    VerdictReply reply { attempt.id, VerdictKind::Unknown };
+    if (query) {
+        if (const auto answer = co_await m_parts.peers.askVerdict(attempt.choice.endpoint, *query))
+            reply = *answer;
+    }
+    const bool notStarted = reply.kind == VerdictKind::NotStarted && end != AttemptEnd::TimedOut;
+    decision = control.entryLedger.judged(reply, again || (notStarted && mayRetry(Reason::PeerUnreachable)));
+    co_return decision.value_or(Decision { NextStep::AnswerCaller, Reason::Internal });
+}
+
+Task<Decision> EntryRequest::passAnswer(Attempt& attempt, AnswerHead head)
+{
+    attempt.usedBelow = head.retriesUsed;
+    attempt.feedback = head.feedback;
+    m_parts.control.retry.collect(id(), attempt.lent, attempt.usedBelow);
+
+    // 1. The head.
+    ReplyHead reply { head.status, std::move(head.headers), head.hasBody, head.contentLength };
+    const bool hasBody = reply.hasBody;
+    m_answerStatus = reply.status;
+    bool written = co_await m_exchange->writeHead(std::move(reply));
+
+    // 2. The body, for as long as it comes and the caller takes it.
+    bool whole = !hasBody;
+    while (written && !whole) {
+        auto message = co_await m_stream->receive();
+        auto* chunk = message ? std::get_if<BodyChunk>(&*message) : nullptr;
+        if (!chunk)
+            break;
+        written = co_await m_exchange->writeBody(chunk->bytes, chunk->last);
+        whole = written && chunk->last;
+        if (!chunk->last)
+            m_stream->grantCredit(creditOf(*chunk));
+    }
+
+    // 3. Anything less than all of it must not look like all of it.
+    if (written && whole) {
+        m_parts.control.entryLedger.finishAnswer(attempt.id);
+        co_return Decision { NextStep::AnswerCaller, Reason::None };
+    }
+    cancelAttempt(Reason::CallerGone);
+    m_parts.control.entryLedger.ended(attempt.id, AttemptEnd::AnswerCutShort, false);
+    co_return Decision { NextStep::AbortAnswer, written ? Reason::AnswerCutShort : Reason::CallerGone };
+}
+
+// Whether time, body and budget allow another try, which is then taken out of the budget.
+bool EntryRequest::mayRetry(Reason reason)
+{
+    if (m_timedOut || m_callerGone || !m_body->replayable() || m_body->failure() != Reason::None)
+        return false;
+    if (m_parts.clock.now() >= m_decision.deadline)
+        return false;
+    return m_parts.control.retry.mayRetry(id(), service(), reason).has_value();
+}
+
+// Tells placement how the attempt went.
+void EntryRequest::conclude(const Attempt& attempt)
+{
+    const auto latency = m_parts.clock.now() - attempt.sentAt;
+    m_parts.control.placement.ended(attempt.choice,
+        { m_decision.context, m_parentRoute, attempt.reason, attempt.feedback ? &*attempt.feedback : nullptr, latency });
+}
+
+// --- The end --------------------------------------------------------------------------------------------------------
+
+Task<void> EntryRequest::refuse(Reason reason, Duration retryAfter)
+{
+    // 1. What went wrong with the caller itself says more than what followed from it.
+    if (m_callerGone)
+        reason = row(reason).outcome == Outcome::NotRun ? reason : Reason::CallerGone;
+    else if (m_body && m_body->failure() != Reason::None && row(reason).outcome == Outcome::Unknown)
+        reason = m_body->failure();
+    m_parts.board.counters().add(Counter::RequestsRefused);
+    m_parts.board.counters().addRefusal(reason);
+
+    // 2. A reply that has begun can only be broken off.
+    if (m_exchange->replyStarted()) {
+        m_exchange->abort();
+        co_return;
+    }
+    if (retryAfter <= Duration(0))
+        retryAfter = m_parts.control.retry.retryAfter(service(), reason);
+    const auto text = id().sequence ? toText(id()) : std::string();
+    co_await m_exchange->reply(replyFor(reason, retryAfter, text));
+}
+
+// Gives back what the request held.
+void EntryRequest::close(Outcome outcome, uint16_t status)
+{
+    auto& control = m_parts.control;
+    if (outcome == Outcome::Served)
+        m_parts.board.counters().add(Counter::RequestsServed);
+    if (m_token && outcome == Outcome::NotRun)
+        control.quota.giveBack(m_decision.context.account, *m_token);
+    if (m_claimed)
+        control.duplicates.end(m_decision.context.account, m_idempotencyKey, id(), outcome, status);
+    if (m_parent) {
+        uint32_t used = 0;
+        m_parts.board.entries().visit(id(), [&](const EntryRecord& record) { used = record.retriesUsed; });
+        control.retry.returnFromChild(*m_parent, m_decision.retriesLent, used);
+    }
+    control.entryLedger.close(id());
+    m_stream.reset();
+}
+
+} // namespace Vanillaridge
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/Parts.h"
+#include "node/RequestBody.h"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,37 +12,49 @@
 /// Runs on its exchange's strand.
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
 public:
+    /// \param parent the attempt whose backend server makes this call; nothing for a caller's request
     EntryRequest(Parts&, std::shared_ptr<HttpExchange>, std::optional<AttemptId> parent);
 
     Task<void> run();
 
 private:
-    using Signal = boost::asio::experimental::concurrent_channel<void(boost::system::error_code)>;
-
-    /// How one attempt came out: an answer passed on (whole or cut), or what to do next.
-    struct AttemptResult {
-        bool answered { false };
-        Decision next;
+    /// One attempt while it is under way.
+    struct Attempt {
+        PlacementChoice choice;
+        AttemptId id;
+        Instant sentAt;
+        uint32_t lent { 0 };
+        std::optional<uint32_t> usedBelow;
+        std::optional<LoadFeedback> feedback;
         Duration retryAfter { 0 };
+        Reason reason { Reason::None };
     };
 
+    // Before the first attempt.
     EntryDecision decide();
     Task<Reason> passGates();
     Reason claimIdempotencyKey();
     Task<Reason> takeToken();
+    void open();
     void watch();
-    Task<void> attemptUntilAnswered();
-    Task<AttemptResult> attempt(const PlacementChoice&);
-    Task<AttemptResult> exchangeMessages(const AttemptId&, const PlacementChoice&, LoadFeedback&);
-    Task<AttemptResult> settle(const AttemptId&, AttemptEnd, const PlacementChoice&);
-    AttemptResult settleRefusal(const Refusal&, const Decision&);
-    Task<bool> passAnswer(AnswerHead);
-    Task<void> sendBody();
-    Task<void> joinBody();
+
+    // Attempts.
+    Task<void> serve();
+    Task<Decision> makeAttempt(Attempt&);
+    Task<Decision> awaitAnswer(Attempt&);
+    Task<Decision> passAnswer(Attempt&, AnswerHead);
+    Decision takeRefusal(Attempt&, const Refusal&);
+    Task<Decision> endWithoutAnswer(Attempt&, AttemptEnd);
+    void sendOpen(Attempt&);
+    void conclude(const Attempt&);
     bool mayRetry(Reason);
-    bool sendOpen(const AttemptId&);
+    void cancelAttempt(Reason);
+
+    // The end.
     Task<void> refuse(Reason, Duration retryAfter);
-    void finish(Outcome, uint16_t status);
+    void close(Outcome, uint16_t status);
+    std::string_view service() const { return m_decision.context.service; }
+    const RequestId& id() const { return m_decision.context.attempt.request; }
 
     Parts& m_parts;
     std::shared_ptr<HttpExchange> m_exchange;
@@ -53,26 +66,13 @@
     bool m_claimed { false };
     std::optional<QuotaDecision> m_token;
     Instant m_receivedAt;
-    boost::asio::steady_timer m_deadlineTimer;
-
-    // The attempt under way.
-    MessageStreamPointer m_stream;
-    std::vector<NodeId> m_tried;
-    uint32_t m_lent { 0 };
-    std::optional<uint32_t> m_usedBelow;
-    Duration m_backendTime { 0 };
+    boost::asio::steady_timer m_deadline;
     bool m_timedOut { false };
     bool m_callerGone { false };
-
-    // The request's body: what has been read is kept while it is short enough to be sent again.
-    std::string m_replay;
-    bool m_replayable { true };
-    bool m_bodyRead { false };
-    bool m_bodyBroken { false };
-    uint64_t m_bodyBytes { 0 };
-    Reason m_bodyReason { Reason::None };
-    bool m_sendingBody { false };
-    std::shared_ptr<Signal> m_bodySent;
+    uint16_t m_answerStatus { 0 };
+    std::shared_ptr<RequestBody> m_body;
+    MessageStreamPointer m_stream;
+    std::vector<NodeId> m_tried;
 };
 
 } // namespace Vanillaridge
--- /dev/null
+++ b/src/node/GuardAttempt.cpp
@@ -0,0 +1,347 @@
+#include "node/GuardAttempt.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Vanillaridge {
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+constexpr Duration connectPatience = seconds(1);
+/// Room for body bytes beyond the first, once the backend server works on the request.
+constexpr size_t startedBodyCredit = 192 * 1024;
+
+bool signalsOverload(uint16_t status) { return status == 429 || status == 503; }
+bool isFailure(uint16_t status) { return status >= 500; }
+
+AdmittedEnd endOf(uint16_t status)
+{
+    if (signalsOverload(status))
+        return AdmittedEnd::Overloaded;
+    return isFailure(status) ? AdmittedEnd::Failed : AdmittedEnd::Served;
+}
+
+// A backend server's answer must not look like the system's own word.
+std::vector<HeaderField> withoutOwnHeaders(std::vector<HeaderField> headers)
+{
+    std::erase_if(headers, [](const HeaderField& field) {
+        return field.name.size() >= ownHeaderPrefix.size()
+            && sameHeader(std::string_view(field.name).substr(0, ownHeaderPrefix.size()), ownHeaderPrefix);
+    });
+    return headers;
+}
+
+} // namespace
+
+GuardAttempt::GuardAttempt(Parts& parts, Strand strand, MessageStreamPointer stream, OpenRequest open)
+    : m_parts(parts)
+    , m_strand(std::move(strand))
+    , m_stream(std::move(stream))
+    , m_open(std::move(open))
+    , m_timer(m_strand)
+    , m_admissionDecided(std::make_shared<Signal>(parts.context, 1))
+    , m_pieceCame(parts.context, 1)
+    , m_bodyDone(parts.context, 1)
+{
+}
+
+Task<void> GuardAttempt::run(const PeerClock& senderClock)
+{
+    const auto self = shared_from_this();
+
+    // 1. Whether this attempt may be taken at all.
+    const auto reason = m_parts.control.guardLedger.accept(m_open, m_stream->peer(), senderClock);
+    if (reason != Reason::None) {
+        refuse(reason, false);
+        co_return;
+    }
+    m_deadline = m_parts.clock.now() + context().remaining;
+    m_parts.board.attempts().visit(id(), [&](const AttemptRecord& record) { m_deadline = record.deadline; });
+
+    // 2. What the entry sends meanwhile is read on the side.
+    boost::asio::co_spawn(m_strand, [self] { return self->readMessages(); }, boost::asio::detached);
+    watchDeadline();
+    co_await serveAccepted();
+
+    // 3. Whoever still reads or writes for it is told that it is over.
+    m_ended = true;
+    m_timer.cancel();
+    m_pieceCame.close();
+    m_stream->close();
+    if (m_sendingBody) {
+        ErrorCode ignored;
+        m_call->abort();
+        co_await m_bodyDone.async_receive(redirect_error(use_awaitable, ignored));
+    }
+}
+
+Task<void> GuardAttempt::serveAccepted()
+{
+    // 1. A backend server beside this node.
+    Endpoint server;
+    const auto missing = findServer(server);
+    if (missing != Reason::None) {
+        refuse(missing, false);
+        co_return;
+    }
+
+    // 2. Room at it.
+    const auto admission = co_await awaitAdmission();
+    if (admission.verdict != AdmissionVerdict::Admitted) {
+        refuse(admission.reason, false, admission.retryAfter);
+        co_return;
+    }
+    if (m_cancelled != Reason::None) {
+        endAdmission(AdmittedEnd::Cancelled);
+        refuse(m_cancelled, false);
+        co_return;
+    }
+    co_await callBackend(server);
+}
+
+Reason GuardAttempt::findServer(Endpoint& endpoint) const
+{
+    if (m_parts.board.refusesAttempts())
+        return Reason::Draining;
+    Reason reason = Reason::Draining;
+    m_parts.board.localServers().visit(context().service, [&](const LocalServerRecord& record) {
+        reason = record.announcement.draining ? Reason::Draining : Reason::None;
+        endpoint = record.endpoint;
+    });
+    return reason;
+}
+
+// --- Admission ------------------------------------------------------------------------------------------------------
+
+Task<AdmissionDecision> GuardAttempt::awaitAdmission()
+{
+    // 1. Ready to be told before the offer, since the decision may come from another thread at once.
+    auto& control = m_parts.control;
+    control.waiters.add(id(),
+        [decided = m_admissionDecided, weak = weak_from_this(), strand = m_strand](const AdmissionDecision& decision) {
+            boost::asio::post(strand, [decided, weak, decision] {
+                if (const auto self = weak.lock())
+                    self->m_admission = decision;
+                decided->try_send(ErrorCode());
+            });
+        });
+    m_admission = control.admission.offer(context(), m_deadline);
+
+    // 2. Waiting ends with a decision, or because nobody waits for the answer any more.
+    if (m_admission.verdict == AdmissionVerdict::Waiting) {
+        m_waiting = true;
+        ErrorCode ignored;
+        co_await m_admissionDecided->async_receive(redirect_error(use_awaitable, ignored));
+        m_waiting = false;
+    }
+    control.waiters.remove(id());
+    if (m_admission.verdict != AdmissionVerdict::Waiting)
+        co_return m_admission;
+
+    // 3. Given up. It may have been admitted just before, and then holds a slot.
+    endAdmission(AdmittedEnd::Cancelled);
+    co_return AdmissionDecision { AdmissionVerdict::Refused, m_cancelled, Duration(0) };
+}
+
+// Frees the slot, and starts whoever has waited for it.
+void GuardAttempt::endAdmission(AdmittedEnd end)
+{
+    auto& control = m_parts.control;
+    control.admission.finished(context().service, id(), end);
+    control.waiters.tell(control.admission.settle());
+}
+
+// --- The backend server ---------------------------------------------------------------------------------------------
+
+Task<void> GuardAttempt::callBackend(const Endpoint& server)
+{
+    // 1. A connection. Until one is there nothing has been sent.
+    m_call = co_await m_parts.backends.connect(server, m_strand, connectPatience);
+    if (!m_call) {
+        endAdmission(AdmittedEnd::Overloaded);
+        refuse(Reason::BackendUnreachable, false);
+        co_return;
+    }
+
+    // 2. From here on the request may run.
+    if (!m_parts.control.guardLedger.start(id())) {
+        endAdmission(AdmittedEnd::Cancelled);
+        const bool late = m_parts.clock.now() >= m_deadline;
+        refuse(m_cancelled != Reason::None ? m_cancelled : late ? Reason::DeadlineExceeded : Reason::Barred, false);
+        co_return;
+    }
+    if (co_await m_call->writeHead(headForBackend())) {
+        if (m_open.hasBody) {
+            m_sendingBody = true;
+            m_stream->grantCredit(startedBodyCredit);
+            boost::asio::co_spawn(
+                m_strand, [self = shared_from_this()] { return self->sendBody(); }, boost::asio::detached);
+        }
+        co_await passAnswer();
+    } else {
+        endAdmission(AdmittedEnd::Failed);
+        refuse(m_cancelled != Reason::None ? m_cancelled : Reason::ConnectionLost, true);
+    }
+    m_parts.control.guardLedger.finish(id());
+}
+
+RequestHead GuardAttempt::headForBackend() const
+{
+    RequestHead head { m_open.method, m_open.target, m_open.headers, m_open.hasBody, m_open.contentLength };
+    const auto remaining = std::chrono::duration_cast<milliseconds>(m_deadline - m_parts.clock.now());
+    head.headers.push_back({ std::string(requestHeader), toText(id()) });
+    head.headers.push_back({ std::string(remainingHeader), std::to_string(remaining.count()) });
+    return head;
+}
+
+Task<void> GuardAttempt::passAnswer()
+{
+    // 1. The head.
+    auto head = co_await m_call->readHead();
+    if (!head) {
+        endAdmission(m_cancelled != Reason::None ? AdmittedEnd::Cancelled : AdmittedEnd::Failed);
+        refuse(m_cancelled != Reason::None ? m_cancelled : Reason::ConnectionLost, true);
+        co_return;
+    }
+    AnswerHead answer;
+    answer.attempt = id();
+    answer.guard = m_parts.board.self().boot;
+    answer.status = head->status;
+    answer.headers = withoutOwnHeaders(std::move(head->headers));
+    answer.hasBody = head->hasBody;
+    answer.contentLength = head->contentLength;
+    answer.feedback = m_parts.control.admission.feedback(context());
+    answer.retriesUsed = retriesUsed();
+    m_stream->send(std::move(answer));
+
+    // 2. The body. One that ends early is said to.
+    const bool whole = !head->hasBody || co_await passAnswerBody();
+    endAdmission(whole ? endOf(head->status) : m_cancelled != Reason::None ? AdmittedEnd::Cancelled : AdmittedEnd::Failed);
+    if (!whole)
+        refuse(Reason::AnswerCutShort, true);
+}
+
+Task<bool> GuardAttempt::passAnswerBody()
+{
+    while (true) {
+        auto piece = co_await m_call->readBody();
+        if (piece.end == BodyEnd::Cut || piece.end == BodyEnd::TooSlow)
+            co_return false;
+        const bool last = piece.end == BodyEnd::Last;
+        if (!co_await m_stream->sendBody({ std::move(piece.bytes), last }))
+            co_return false;
+        if (last)
+            co_return true;
+    }
+}
+
+uint32_t GuardAttempt::retriesUsed() const
+{
+    uint32_t used = 0;
+    m_parts.board.attempts().visit(id(), [&](const AttemptRecord& record) { used = record.retriesUsed; });
+    return used;
+}
+
+// --- The request's body ---------------------------------------------------------------------------------------------
+
+// Writes pieces as they come, and makes room for as many more.
+Task<void> GuardAttempt::sendBody()
+{
+    const auto self = shared_from_this();
+    bool going = true;
+    while (going && !m_ended) {
+        if (m_pieces.empty()) {
+            ErrorCode error;
+            co_await m_pieceCame.async_receive(redirect_error(use_awaitable, error));
+            going = !error;
+            continue;
+        }
+        const auto piece = std::move(m_pieces.front());
+        m_pieces.pop_front();
+        going = co_await m_call->writeBody(piece.bytes, piece.last) && !piece.last;
+        if (going)
+            m_stream->grantCredit(creditOf(piece));
+    }
+    m_sendingBody = false;
+    m_bodyDone.try_send(ErrorCode());
+}
+
+// --- What the entry sends -------------------------------------------------------------------------------------------
+
+Task<void> GuardAttempt::readMessages()
+{
+    const auto self = shared_from_this();
+    while (!m_ended) {
+        auto message = co_await m_stream->receive();
+        if (!message) {
+            cancel(Reason::ConnectionLost);
+            co_return;
+        }
+        take(std::move(*message));
+    }
+}
+
+void GuardAttempt::take(StreamMessage message)
+{
+    if (auto* chunk = std::get_if<BodyChunk>(&message)) {
+        m_pieces.push_back(std::move(*chunk));
+        m_pieceCame.try_send(ErrorCode());
+    } else if (const auto* cancelled = std::get_if<CancelRequest>(&message)) {
+        cancel(cancelled->reason);
+    }
+}
+
+void GuardAttempt::watchDeadline()
+{
+    m_timer.expires_after(m_deadline - m_parts.clock.now());
+    m_timer.async_wait([weak = weak_from_this()](const ErrorCode& error) {
+        if (const auto self = weak.lock(); self && !error)
+            self->cancel(Reason::Timeout);
+    });
+}
+
+// Nobody waits for the answer any more: what waits is given up, and what runs is told by closing its connection.
+void GuardAttempt::cancel(Reason reason)
+{
+    if (m_ended || m_cancelled != Reason::None)
+        return;
+    m_cancelled = reason;
+    m_parts.board.counters().add(Counter::RequestsCancelled);
+    m_parts.control.guardLedger.cancel(id());
+    if (m_waiting) {
+        m_parts.control.admission.abandon(context().service, id());
+        m_admissionDecided->try_send(ErrorCode());
+    }
+    if (m_call)
+        m_call->abort();
+}
+
+// Whatever is said not to have started is barred before it is said.
+void GuardAttempt::refuse(Reason reason, bool started, Duration retryAfter)
+{
+    auto& control = m_parts.control;
+    if (!started && control.guardLedger.bar(id()) == VerdictKind::Started)
+        started = true;
+    if (!started && row(reason).outcome == Outcome::Unknown)
+        reason = reason == Reason::Timeout ? Reason::DeadlineExceeded : Reason::Barred;
+    Refusal refusal;
+    refusal.attempt = id();
+    refusal.guard = m_parts.board.self().boot;
+    refusal.reason = reason;
+    refusal.started = started;
+    refusal.retryAfter
+        = retryAfter > Duration(0) ? retryAfter : control.retry.retryAfter(context().service, reason);
+    refusal.feedback = control.admission.feedback(context());
+    refusal.retriesUsed = retriesUsed();
+    m_stream->send(std::move(refusal));
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/node/GuardAttempt.h
@@ -0,0 +1,63 @@
+/// One attempt at a backend server beside this node. Private to the node library.
+#pragma once
+
+#include "node/Parts.h"
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+
+namespace Vanillaridge {
+
+/// Runs on a strand of its own. Two coroutines work on it: one reads what the entry sends, the other takes the request
+/// through admission to the backend server and the answer back.
+class GuardAttempt : public std::enable_shared_from_this<GuardAttempt> {
+public:
+    GuardAttempt(Parts&, Strand, MessageStreamPointer, OpenRequest);
+
+    Task<void> run(const PeerClock&);
+
+private:
+    using Signal = boost::asio::experimental::concurrent_channel<void(boost::system::error_code)>;
+
+    Task<void> serveAccepted();
+    Reason findServer(Endpoint&) const;
+    Task<AdmissionDecision> awaitAdmission();
+    Task<void> callBackend(const Endpoint&);
+    Task<void> passAnswer();
+    Task<bool> passAnswerBody();
+    Task<void> sendBody();
+    Task<void> readMessages();
+    void take(StreamMessage);
+    void watchDeadline();
+    void cancel(Reason);
+    void refuse(Reason, bool started, Duration retryAfter = Duration(0));
+    void endAdmission(AdmittedEnd);
+    uint32_t retriesUsed() const;
+    RequestHead headForBackend() const;
+    const RequestContext& context() const { return m_open.context; }
+    const AttemptId& id() const { return m_open.context.attempt; }
+
+    Parts& m_parts;
+    Strand m_strand;
+    MessageStreamPointer m_stream;
+    OpenRequest m_open;
+    Instant m_deadline;
+    boost::asio::steady_timer m_timer;
+
+    /// Why nobody waits for the answer any more; None as long as somebody does.
+    Reason m_cancelled { Reason::None };
+    bool m_waiting { false };
+    bool m_ended { false };
+    std::shared_ptr<Signal> m_admissionDecided;
+    AdmissionDecision m_admission;
+    std::shared_ptr<BackendCall> m_call;
+
+    /// Pieces of the request's body that have come and are not written yet; bounded by the stream's credit.
+    std::deque<BodyChunk> m_pieces;
+    Signal m_pieceCame;
+    bool m_sendingBody { false };
+    Signal m_bodyDone;
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/node/RequestBody.cpp
@@ -0,0 +1,95 @@
+#include "node/RequestBody.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Vanillaridge {
+
+namespace {
+
+// Room that a stream has before its backend server starts: as much as can be sent again elsewhere.
+constexpr size_t replayLimit = initialBodyCredit;
+
+} // namespace
+
+RequestBody::RequestBody(boost::asio::io_context& context, std::shared_ptr<HttpExchange> exchange, uint64_t limit)
+    : m_exchange(std::move(exchange))
+    , m_limit(limit)
+    , m_ended(context, 1)
+{
+}
+
+void RequestBody::startSending(MessageStreamPointer stream)
+{
+    m_sending = true;
+    boost::asio::co_spawn(
+        m_exchange->strand(),
+        [self = shared_from_this(), stream = std::move(stream)] { return self->send(stream); },
+        boost::asio::detached);
+}
+
+Task<void> RequestBody::join()
+{
+    const auto self = shared_from_this();
+    boost::system::error_code ignored;
+    if (m_sending)
+        co_await m_ended.async_receive(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+Task<void> RequestBody::send(MessageStreamPointer stream)
+{
+    const auto self = shared_from_this();
+    bool open = co_await resend(*stream);
+    while (open && !m_complete)
+        open = co_await readAndSend(*stream);
+    m_sending = false;
+    m_ended.try_send(boost::system::error_code());
+}
+
+// What an earlier attempt has read already.
+Task<bool> RequestBody::resend(MessageStream& stream)
+{
+    for (size_t sent = 0; sent < m_kept.size(); sent += bodyPieceBytes) {
+        if (!co_await stream.sendBody({ m_kept.substr(sent, bodyPieceBytes), false }))
+            co_return false;
+    }
+    if (m_complete)
+        co_return co_await stream.sendBody({ {}, true });
+    co_return true;
+}
+
+Task<bool> RequestBody::readAndSend(MessageStream& stream)
+{
+    // 1. The next piece.
+    auto piece = co_await m_exchange->readBody();
+    m_read += piece.bytes.size();
+    if (piece.end == BodyEnd::Cut)
+        m_failure = Reason::CallerGone;
+    else if (piece.end == BodyEnd::TooSlow)
+        m_failure = Reason::SlowCaller;
+    else if (m_read > m_limit)
+        m_failure = Reason::BodyTooLarge;
+    if (m_failure != Reason::None) {
+        stream.send(CancelRequest { m_failure });
+        stream.close();
+        co_return false;
+    }
+
+    // 2. Kept before it is sent, so that nothing is lost if the stream ends meanwhile.
+    keep(piece.bytes);
+    m_complete = piece.end == BodyEnd::Last;
+    co_return co_await stream.sendBody({ std::move(piece.bytes), m_complete });
+}
+
+void RequestBody::keep(std::string_view bytes)
+{
+    m_replayable = m_replayable && m_kept.size() + bytes.size() <= replayLimit;
+    if (m_replayable)
+        m_kept += bytes;
+    else
+        m_kept = {};
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/node/RequestBody.h
@@ -0,0 +1,46 @@
+/// A request's body on its way from the caller to whichever guard has the present attempt. Private to the node library.
+#pragma once
+
+#include "http/Http.h"
+#include "peer/Peer.h"
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+
+namespace Vanillaridge {
+
+/// Reads the body from the exchange as room appears in the attempt's stream. What has been read is kept while it is
+/// short enough to be sent to another guard; a guard gives more room only once its backend server has started.
+/// Used on the exchange's strand only.
+class RequestBody : public std::enable_shared_from_this<RequestBody> {
+public:
+    RequestBody(boost::asio::io_context&, std::shared_ptr<HttpExchange>, uint64_t limit);
+
+    /// Whether all that was read can be sent again.
+    bool replayable() const { return m_replayable; }
+    /// Why the body could not be passed on whole; None as long as it can.
+    Reason failure() const { return m_failure; }
+    /// Passes the body to the stream, from its beginning; the sending of an earlier attempt must have been joined.
+    void startSending(MessageStreamPointer);
+    /// Waits until nothing is read from the exchange any more. The stream must have been closed.
+    Task<void> join();
+
+private:
+    using Signal = boost::asio::experimental::concurrent_channel<void(boost::system::error_code)>;
+
+    Task<void> send(MessageStreamPointer);
+    Task<bool> resend(MessageStream&);
+    Task<bool> readAndSend(MessageStream&);
+    void keep(std::string_view bytes);
+
+    std::shared_ptr<HttpExchange> m_exchange;
+    const uint64_t m_limit;
+    std::string m_kept;
+    bool m_replayable { true };
+    bool m_complete { false };
+    uint64_t m_read { 0 };
+    Reason m_failure { Reason::None };
+    bool m_sending { false };
+    Signal m_ended;
+};
+
+} // namespace Vanillaridge
--- a/src/wire/Archives.h
+++ b/src/wire/Archives.h
@@ -131,6 +131,22 @@
         archive(element);
 }
 
+template <typename Value> void save(ByteOutput& archive, const std::optional<Value>& value)
+{
+    archive(value.has_value());
+    if (value)
+        archive(*value);
+}
+
+template <typename Value> void load(ByteInput& archive, std::optional<Value>& value)
+{
+    bool present = false;
+    archive(present);
+    value.reset();
+    if (present)
+        archive(value.emplace());
+}
+
 // Elements are added one by one as they are read: a false count costs no memory, since every element takes bytes.
 template <typename Element> void load(ByteInput& archive, std::vector<Element>& elements)
 {
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -56,14 +56,14 @@
 
 template <typename Archive> void serialize(Archive& archive, OpenRequest& message)
 {
-    auto& [context, method, target, headers, hasBody, sentAt] = message;
-    archive(context, method, target, headers, hasBody, sentAt);
+    auto& [context, method, target, headers, hasBody, sentAt, contentLength] = message;
+    archive(context, method, target, headers, hasBody, sentAt, contentLength);
 }
 
 template <typename Archive> void serialize(Archive& archive, AnswerHead& message)
 {
-    auto& [attempt, guard, status, headers, hasBody, feedback, retriesUsed] = message;
-    archive(attempt, guard, status, headers, hasBody, feedback, retriesUsed);
+    auto& [attempt, guard, status, headers, hasBody, feedback, retriesUsed, contentLength] = message;
+    archive(attempt, guard, status, headers, hasBody, feedback, retriesUsed, contentLength);
 }
 
 template <typename Archive> void serialize(Archive& archive, Refusal& message)
