Decide admission, placement and retries over the board

Cause: the request path needs decisions behind the declared signatures. Ruled out: a rank computed by each guard from its own view of an account's rate, since what an entry has shed already would count as rate never offered; requests carry how many they represent instead. Before: headers only.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -1,1 +1,170 @@
 #include "admission/Admission.h"
+
+#include "admission/Gate.h"
+
+#include <algorithm>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // Calls per request of a route from which on its requests are taken to need the called route.
+    constexpr double neededCalls = 0.5;
+    // Requests to count before their calls are believed.
+    constexpr double requestsToLearn = 8;
+    // Age at which a shed record counts no more.
+    constexpr Duration shedRecordLife = seconds(1);
+
+} // namespace
+
+struct Admission::State {
+    State(Board& board, Clock& clock, RandomSource& random, AdmissionStrategy strategy)
+        : board(board)
+        , clock(clock)
+        , random(random)
+        , strategy(strategy)
+    {
+    }
+
+    // The backend server as announced here; nothing when it is not.
+    std::optional<ServerAnnouncement> announced(const ServiceName& service)
+    {
+        std::optional<ServerAnnouncement> found;
+        board.localServers().visit(service, [&](LocalServerRecord& server) { found = server.announcement; });
+        return found;
+    }
+
+    Gate& gateOf(const ServiceName& service)
+    {
+        return gates.with(service, [&](auto& map) -> Gate& {
+            auto& gate = map[service];
+            if (!gate)
+                gate = std::make_unique<Gate>(clock, random, strategy);
+            return *gate;
+        });
+    }
+
+    Gate* existingGate(const ServiceName& service)
+    {
+        Gate* gate = nullptr;
+        gates.visit(service, [&](std::unique_ptr<Gate>& found) { gate = found.get(); });
+        return gate;
+    }
+
+    // Declared slots are a ceiling twice over: by the configuration and by the announcement.
+    GateSettings settingsOf(const ServiceName& service, const ServerAnnouncement& announcement) const
+    {
+        GateSettings settings { .slots = announcement.slots, .generation = announcement.generation };
+        const auto configuration = board.configuration().inForce();
+        const Service* declared = configuration ? configuration->service(service) : nullptr;
+        const Service fallback;
+        settings.slowStart = (declared ? *declared : fallback).slowStart;
+        settings.queueLimit = (declared ? *declared : fallback).queueLimit;
+        if (declared)
+            settings.slots = settings.slots ? std::min(settings.slots, declared->slots) : declared->slots;
+        if (configuration)
+            settings.policy = configuration->policy().overload;
+        return settings;
+    }
+
+    // Routes that most requests of this route go on to call.
+    std::vector<RouteName> neededRoutes(const RouteName& route)
+    {
+        std::vector<RouteName> needed;
+        board.routeCalls().visit(route, [&](RouteCallsRecord& record) {
+            if (record.requests < requestsToLearn)
+                return;
+            for (const auto& [called, count] : record.calls) {
+                if (count >= neededCalls * record.requests)
+                    needed.push_back(called);
+            }
+        });
+        return needed;
+    }
+
+    double shedLevelBelow(const RequestContext& context)
+    {
+        double level = 0;
+        for (const auto& route : neededRoutes(context.route)) {
+            board.shedRecords().visit({ route, context.account }, [&](ShedRecord& record) {
+                if (clock.now() - record.at < shedRecordLife)
+                    level = std::max(level, record.level);
+            });
+        }
+        return level;
+    }
+
+    Board& board;
+    Clock& clock;
+    RandomSource& random;
+    const AdmissionStrategy strategy;
+    Sharded<ServiceName, std::unique_ptr<Gate>> gates;
+};
+
+Admission::Admission(Board& board, Clock& clock, RandomSource& random, AdmissionStrategy strategy)
+    : m_state(std::make_unique<State>(board, clock, random, strategy))
+{
+}
+
+Admission::~Admission() = default;
+
+// A backend server that has left, or is leaving, gets no new work from this moment on.
+AdmissionDecision Admission::offer(const RequestContext& context, Instant deadline)
+{
+    const auto announcement = m_state->announced(context.service);
+    if (!announcement)
+        return { AdmissionVerdict::Refused, Reason::NoServer };
+    if (announcement->draining || m_state->board.draining())
+        return { AdmissionVerdict::Refused, Reason::Draining };
+    auto& gate = m_state->gateOf(context.service);
+    if (gate.wantsSettings())
+        gate.configure(m_state->settingsOf(context.service, *announcement));
+    return gate.offer(context, deadline);
+}
+
+void Admission::finished(std::string_view service, const AttemptId& attempt, AttemptEnd end)
+{
+    if (auto* gate = m_state->existingGate(ServiceName(service)))
+        gate->finished(attempt, end);
+}
+
+void Admission::abandon(std::string_view service, const AttemptId& attempt)
+{
+    if (auto* gate = m_state->existingGate(ServiceName(service)))
+        gate->abandon(attempt);
+}
+
+std::vector<AdmissionChange> Admission::settle()
+{
+    std::vector<AdmissionChange> changes;
+    m_state->gates.forEach(
+        [&](const ServiceName& service, std::unique_ptr<Gate>& gate) { gate->settle(service, changes); });
+    return changes;
+}
+
+LoadFeedback Admission::feedback(std::string_view service) const
+{
+    LoadFeedback load;
+    if (const auto* gate = m_state->existingGate(ServiceName(service)))
+        load = gate->feedback(std::nullopt);
+    load.service = service;
+    const auto announcement = m_state->announced(load.service);
+    load.draining = !announcement || announcement->draining || m_state->board.draining();
+    return load;
+}
+
+// One such answer goes out for each request, so this is also where requests of a route are counted.
+LoadFeedback Admission::feedback(const RequestContext& context) const
+{
+    LoadFeedback load;
+    if (const auto* gate = m_state->existingGate(context.service))
+        load = gate->feedback(context.account);
+    load.service = context.service;
+    const auto announcement = m_state->announced(load.service);
+    load.draining = !announcement || announcement->draining || m_state->board.draining();
+    m_state->board.routeCalls().visit(context.route, [](RouteCallsRecord& record) { record.requests += 1; });
+    load.shedLevel = std::max(load.shedLevel, m_state->shedLevelBelow(context));
+    return load;
+}
+
+} // namespace Vanillaridge
--- a/src/admission/Admission.h
+++ b/src/admission/Admission.h
@@ -49,10 +49,6 @@
 /// Ways to control admission. Adaptive is the product's; the others are baselines for measurement.
 enum class AdmissionStrategy : uint8_t { Adaptive, NoControl, StaticLimit, QueueDelay };
 
-/// The share of requests, by stable hash, that a request belongs to: evenly spread over [0, 1). Of two requests alike
-/// in importance and account, the one with the lower value is shed later, on every node.
-double survivalOrder(uint64_t treeHash);
-
 class Admission {
 public:
     Admission(Board&, Clock&, RandomSource&, AdmissionStrategy = AdmissionStrategy::Adaptive);
--- /dev/null
+++ b/src/admission/Gate.cpp
@@ -0,0 +1,307 @@
+#include "admission/Gate.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // How often the budget is worked out, settings are read again, and the queue is looked through.
+    constexpr Duration updatePeriod = milliseconds(20);
+    constexpr Duration settingsPeriod = milliseconds(50);
+    constexpr Duration scanPeriod = milliseconds(1);
+    // Weight of a new sample in the smoothed times.
+    constexpr double timeSmoothing = 0.05;
+    // Share of the smoothed service time that must be left for an attempt to be worth starting.
+    constexpr double timeNeeded = 0.5;
+    constexpr double shortestQueue = 4;
+    // Baseline: drops by delay start when requests have waited this long for that time.
+    constexpr Duration delayTarget = milliseconds(5);
+    constexpr Duration delayInterval = milliseconds(100);
+    constexpr Duration shortestRetryAfter = milliseconds(250);
+    constexpr Duration retryAfterPerLevel = seconds(2);
+    constexpr double retryAfterJitter = 0.5;
+
+    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+    Duration fromSeconds(double value)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+    }
+
+} // namespace
+
+const std::array<Gate::StrategyRow, 4> Gate::strategies { {
+    { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::orderByWorth, &Gate::isDroppedAtLimit, 1 },
+    { &Gate::noLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isNeverDropped, 1 },
+    { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isDroppedAtLimit, 1 },
+    { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isDroppedByDelay, 100 },
+} };
+
+Gate::Gate(Clock& clock, RandomSource& random, AdmissionStrategy strategy)
+    : m_clock(clock)
+    , m_random(random)
+    , m_strategy(strategies[static_cast<size_t>(strategy)])
+    , m_updatedAt(clock.now())
+{
+}
+
+bool Gate::wantsSettings() const
+{
+    std::lock_guard guard(m_lock);
+    return !m_configured || m_clock.now() - m_configuredAt >= settingsPeriod;
+}
+
+// A new generation of the backend server starts cold.
+void Gate::configure(const GateSettings& settings)
+{
+    std::lock_guard guard(m_lock);
+    const auto now = m_clock.now();
+    if (!m_configured || settings.generation != m_settings.generation)
+        m_coldSince = now;
+    m_configured = true;
+    m_configuredAt = now;
+    m_settings = settings;
+    m_budget.choose(settings.policy);
+    m_limit.configure(settings.slots, m_coldSince, settings.slowStart);
+}
+
+// --- Strategies ---------------------------------------------------------------------------------------------------
+
+uint32_t Gate::adaptiveLimit(Instant now) const { return m_limit.current(now); }
+
+uint32_t Gate::noLimit(Instant) const { return std::numeric_limits<uint32_t>::max(); }
+
+uint32_t Gate::declaredLimit(Instant) const { return m_settings.slots; }
+
+bool Gate::isShedByLevel(const RequestContext& context) const
+{
+    return shedRank(context) < m_budget.level(context.account);
+}
+
+bool Gate::isNeverShed(const RequestContext&) const { return false; }
+
+double Gate::orderByWorth(const RequestContext& context) const
+{
+    return m_budget.order(context.importance, context.account, context.treeHash);
+}
+
+double Gate::orderByArrival(const RequestContext&) const { return 0; }
+
+bool Gate::isDroppedAtLimit(const Ticket& ticket, Instant now) { return now - ticket.since > m_settings.queueLimit; }
+
+bool Gate::isNeverDropped(const Ticket&, Instant) { return false; }
+
+// Drops one request at a time, more and more often while the delay stays above its target.
+bool Gate::isDroppedByDelay(const Ticket& ticket, Instant now)
+{
+    if (now - ticket.since < delayTarget) {
+        m_aboveTargetSince = now;
+        m_drops = 0;
+        return false;
+    }
+    if (now - m_aboveTargetSince < delayInterval || now < m_nextDrop)
+        return false;
+    ++m_drops;
+    const double factor = 1 / std::sqrt(double(m_drops));
+    m_nextDrop = now + fromSeconds(inSeconds(delayInterval) * factor);
+    return true;
+}
+
+// --- Offers -------------------------------------------------------------------------------------------------------
+
+AdmissionDecision Gate::offer(const RequestContext& context, Instant deadline)
+{
+    std::lock_guard guard(m_lock);
+    const auto now = m_clock.now();
+
+    // 1. Once only, and only if there is time for it.
+    if (m_tickets.contains(context.attempt))
+        return refusal(Reason::Duplicate);
+    m_budget.noteOffer(context.importance, context.account, context.represents);
+    if (cannotFinish(deadline, now))
+        return refusal(Reason::DeadlineExceeded);
+
+    // 2. A free slot is used, whatever the shed level.
+    if (m_queue.empty() && m_running < (this->*m_strategy.limit)(now)) {
+        auto& ticket = m_tickets[context.attempt];
+        ticket.deadline = deadline;
+        start(ticket, now);
+        return { AdmissionVerdict::Admitted };
+    }
+    return enqueueOrRefuse(context, deadline, now);
+}
+
+// What is refused here is always the least worthy of those who wait and the one that came.
+AdmissionDecision Gate::enqueueOrRefuse(const RequestContext& context, Instant deadline, Instant now)
+{
+    m_saturated = true;
+    const Place place { context.importance, (this->*m_strategy.order)(context), ++m_sequence };
+
+    // 1. Shed by level or by a full queue, unless something less important waits, which then goes in its place.
+    const bool isFull = double(m_queue.size()) >= queueCapacity() * m_strategy.queueFactor;
+    const bool isShed = (this->*m_strategy.isShed)(context);
+    m_overflowed |= isFull;
+    if (isShed || isFull) {
+        const bool isWorse = m_queue.empty() || m_queue.rbegin()->first < place;
+        const bool sameClass = !m_queue.empty() && m_queue.rbegin()->first.importance == place.importance;
+        if (isWorse || (isShed && sameClass))
+            return refusal(isShed ? Reason::ShedAtGuard : Reason::QueueFull);
+        evictWorst(Reason::ShedAtGuard);
+    }
+
+    // 2. It waits.
+    m_tickets.emplace(context.attempt, Ticket { place, deadline, now, true });
+    m_queue.emplace(place, context.attempt);
+    return { AdmissionVerdict::Waiting };
+}
+
+void Gate::start(Ticket& ticket, Instant now)
+{
+    ticket.waiting = false;
+    ticket.since = now;
+    ++m_running;
+}
+
+AdmissionDecision Gate::refusal(Reason reason)
+{
+    const auto base = shortestRetryAfter + fromSeconds(inSeconds(retryAfterPerLevel) * m_budget.level());
+    return { AdmissionVerdict::Refused, reason, m_random.jittered(base, retryAfterJitter) };
+}
+
+void Gate::evictWorst(Reason reason) { refuse(std::prev(m_queue.end()), reason); }
+
+void Gate::refuse(Queue::iterator waiting, Reason reason)
+{
+    m_tickets.erase(waiting->second);
+    m_changes.push_back({ waiting->second, {}, refusal(reason) });
+    m_queue.erase(waiting);
+}
+
+// --- Ends ---------------------------------------------------------------------------------------------------------
+
+void Gate::finished(const AttemptId& attempt, AttemptEnd end)
+{
+    std::lock_guard guard(m_lock);
+    const auto found = m_tickets.find(attempt);
+    if (found == m_tickets.end() || found->second.waiting)
+        return;
+    const auto spent = m_clock.now() - found->second.since;
+    m_limit.noteEnd(end, spent, m_running);
+    if (end != AttemptEnd::Overloaded)
+        ++m_ends;
+    if (end == AttemptEnd::Served)
+        m_serviceTime += (m_serviceTime > 0 ? timeSmoothing : 1) * (inSeconds(spent) - m_serviceTime);
+    m_tickets.erase(found);
+    --m_running;
+}
+
+void Gate::abandon(const AttemptId& attempt)
+{
+    std::lock_guard guard(m_lock);
+    const auto found = m_tickets.find(attempt);
+    if (found == m_tickets.end() || !found->second.waiting)
+        return;
+    m_queue.erase(found->second.place);
+    m_tickets.erase(found);
+}
+
+// --- Decisions on those who wait ------------------------------------------------------------------------------------
+
+void Gate::settle(std::string_view service, std::vector<AdmissionChange>& changes)
+{
+    std::lock_guard guard(m_lock);
+    const auto now = m_clock.now();
+    if (now - m_scannedAt >= scanPeriod) {
+        m_scannedAt = now;
+        refuseLate(now);
+    }
+    startWaiting(now);
+    if (now - m_updatedAt >= updatePeriod)
+        update(now);
+    for (auto& change : std::exchange(m_changes, {})) {
+        change.service = service;
+        changes.push_back(std::move(change));
+    }
+}
+
+// Refuses what has waited too long or can no longer finish. A request that waited too long takes those of lower
+// importance with it: they would have waited in vain, and must not outlive it.
+void Gate::refuseLate(Instant now)
+{
+    auto lowestLeft = Importance::Low;
+    for (auto waiting = m_queue.begin(); waiting != m_queue.end();) {
+        const auto present = waiting++;
+        const auto& ticket = m_tickets.at(present->second);
+        if (cannotFinish(ticket.deadline, now)) {
+            refuse(present, Reason::DeadlineExceeded);
+        } else if (present->first.importance > lowestLeft) {
+            refuse(present, Reason::ShedAtGuard);
+        } else if ((this->*m_strategy.isDropped)(ticket, now)) {
+            m_overflowed = true;
+            lowestLeft = present->first.importance;
+            refuse(present, Reason::QueueTimeout);
+        }
+    }
+}
+
+void Gate::startWaiting(Instant now)
+{
+    const auto limit = (this->*m_strategy.limit)(now);
+    while (m_running < limit && !m_queue.empty()) {
+        const auto best = m_queue.begin();
+        auto& ticket = m_tickets.at(best->second);
+        if (cannotFinish(ticket.deadline, now)) {
+            refuse(best, Reason::DeadlineExceeded);
+            continue;
+        }
+        m_queueTime += timeSmoothing * (inSeconds(now - ticket.since) - m_queueTime);
+        start(ticket, now);
+        m_changes.push_back({ best->second, {}, { AdmissionVerdict::Admitted } });
+        m_queue.erase(best);
+    }
+}
+
+void Gate::update(Instant now)
+{
+    m_saturated |= !m_queue.empty();
+    m_budget.update({ now - m_updatedAt, m_ends, m_saturated, m_overflowed, m_queue.size(), queueCapacity() });
+    m_limit.update(now, m_saturated);
+    m_updatedAt = now;
+    m_ends = 0;
+    m_saturated = false;
+    m_overflowed = false;
+}
+
+Duration Gate::expectedService() const { return fromSeconds(m_serviceTime); }
+
+// As many as can be expected to start within the longest wait.
+double Gate::queueCapacity() const
+{
+    const double limit = m_limit.current(m_clock.now());
+    const double rate = m_serviceTime > 0 ? limit / m_serviceTime : limit;
+    return std::max(shortestQueue, std::min(rate * inSeconds(m_settings.queueLimit), 4 * limit));
+}
+
+bool Gate::cannotFinish(Instant deadline, Instant now) const
+{
+    return now + fromSeconds(timeNeeded * m_serviceTime) >= deadline;
+}
+
+// --- Feedback -----------------------------------------------------------------------------------------------------
+
+LoadFeedback Gate::feedback(std::optional<std::string_view> account) const
+{
+    std::lock_guard guard(m_lock);
+    LoadFeedback load;
+    load.running = m_running;
+    load.waiting = static_cast<uint32_t>(m_queue.size());
+    load.limit = (this->*m_strategy.limit)(m_clock.now());
+    load.shedLevel = account ? m_budget.level(*account) : m_budget.level();
+    load.serviceTime = expectedService();
+    load.queueTime = fromSeconds(m_queueTime);
+    return load;
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/admission/Gate.h
@@ -0,0 +1,113 @@
+/// The gate before one backend server: its tickets, its queue, its limit and its budget, under one lock.
+#pragma once
+
+#include "admission/ConcurrencyLimit.h"
+#include "admission/ShedBudget.h"
+
+#include <set>
+
+namespace Vanillaridge {
+
+/// What the board says of a gate's backend server at present.
+struct GateSettings {
+    uint32_t slots { 1 };
+    uint64_t generation { 0 };
+    Duration slowStart { 0 };
+    Duration queueLimit { 0 };
+    OverloadPolicy policy { OverloadPolicy::FairnessFirst };
+};
+
+class Gate {
+public:
+    Gate(Clock&, RandomSource&, AdmissionStrategy);
+
+    /// Whether the settings are old enough to be read from the board again.
+    bool wantsSettings() const;
+    void configure(const GateSettings&);
+
+    AdmissionDecision offer(const RequestContext&, Instant deadline);
+    void finished(const AttemptId&, AttemptEnd);
+    void abandon(const AttemptId&);
+    void settle(std::string_view service, std::vector<AdmissionChange>&);
+
+    /// Load of the backend server; the shed level is that of the account, or of all when there is none.
+    LoadFeedback feedback(std::optional<std::string_view> account) const;
+
+private:
+    // Place in the queue: best first.
+    struct Place {
+        Importance importance { Importance::Low };
+        double order { 0 };
+        uint64_t sequence { 0 };
+        auto operator<=>(const Place&) const = default;
+    };
+    struct Ticket {
+        Place place;
+        Instant deadline;
+        Instant since;
+        bool waiting { false };
+    };
+    using Queue = std::map<Place, AttemptId>;
+    // What a strategy decides. Rows in the order of AdmissionStrategy.
+    struct StrategyRow {
+        uint32_t (Gate::*limit)(Instant) const;
+        bool (Gate::*isShed)(const RequestContext&) const;
+        double (Gate::*order)(const RequestContext&) const;
+        bool (Gate::*isDropped)(const Ticket&, Instant);
+        double queueFactor;
+    };
+    static const std::array<StrategyRow, 4> strategies;
+
+    uint32_t adaptiveLimit(Instant) const;
+    uint32_t noLimit(Instant) const;
+    uint32_t declaredLimit(Instant) const;
+    bool isShedByLevel(const RequestContext&) const;
+    bool isNeverShed(const RequestContext&) const;
+    double orderByWorth(const RequestContext&) const;
+    double orderByArrival(const RequestContext&) const;
+    bool isDroppedAtLimit(const Ticket&, Instant);
+    bool isDroppedByDelay(const Ticket&, Instant);
+    bool isNeverDropped(const Ticket&, Instant);
+
+    AdmissionDecision enqueueOrRefuse(const RequestContext&, Instant deadline, Instant now);
+    void update(Instant);
+    void start(Ticket&, Instant);
+    void evictWorst(Reason);
+    void refuse(Queue::iterator, Reason);
+    void refuseLate(Instant);
+    void startWaiting(Instant);
+    AdmissionDecision refusal(Reason);
+    Duration expectedService() const;
+    double queueCapacity() const;
+    bool cannotFinish(Instant deadline, Instant now) const;
+
+    Clock& m_clock;
+    RandomSource& m_random;
+    const StrategyRow& m_strategy;
+    mutable std::mutex m_lock;
+    GateSettings m_settings;
+    Instant m_configuredAt;
+    bool m_configured { false };
+    Instant m_coldSince;
+    ConcurrencyLimit m_limit;
+    ShedBudget m_budget { OverloadPolicy::FairnessFirst };
+    std::unordered_map<AttemptId, Ticket> m_tickets;
+    Queue m_queue;
+    std::vector<AdmissionChange> m_changes;
+    uint32_t m_running { 0 };
+    uint64_t m_sequence { 0 };
+    double m_serviceTime { 0 }; // seconds
+    double m_queueTime { 0 }; // seconds
+    // Since the last update.
+    Instant m_updatedAt;
+    Instant m_scannedAt;
+    uint32_t m_ends { 0 };
+    bool m_saturated { false };
+    bool m_overflowed { false };
+    // State of the drops by delay.
+    Instant m_aboveTargetSince;
+    Instant m_nextDrop;
+    uint32_t m_drops { 0 };
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/admission/ShedBudget.cpp
@@ -0,0 +1,207 @@
+#include "admission/ShedBudget.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // Memory of class totals and of the served rate, and of accounts' shares, which need more samples.
+    constexpr double fastMemory = 0.2; // seconds
+    constexpr double slowMemory = 1.0; // seconds
+    // Time in which the queue is to be brought to its target.
+    constexpr double queueHorizon = 0.2; // seconds
+    // Filling of the queue that is aimed at, and that starts shedding.
+    constexpr double queueTarget = 0.25;
+    constexpr double queueStart = 0.5;
+    constexpr uint32_t updatesBeforeShedding = 2;
+    // Shedding ends when the budget exceeds demand by this factor.
+    constexpr double roomToStop = 1.2;
+    // The budget is never below this share of the served rate.
+    constexpr double leastBudget = 0.2;
+    // Passes of water filling: each fixes the accounts that are below the level.
+    constexpr int waterPasses = 12;
+    // Accounts without traffic are forgotten: how often that is looked at (updates), and from which rate on.
+    constexpr uint32_t forgetEvery = 256;
+    constexpr double forgottenRate = 1e-3; // requests per second
+
+    double smoothing(double elapsed, double memory) { return 1 - std::exp(-elapsed / memory); }
+
+} // namespace
+
+// Rows in the order of OverloadPolicy.
+const std::array<ShedBudget::PolicyRow, 2> ShedBudget::policies { {
+    { &ShedBudget::fairWaterLevel, &ShedBudget::fairSurvival, &ShedBudget::fairOrder, 1.3 },
+    { &ShedBudget::evenShare, &ShedBudget::evenSurvival, &ShedBudget::hashOrder, 1.5 },
+} };
+
+void ShedBudget::choose(OverloadPolicy policy) { m_policy = &policies[static_cast<size_t>(policy)]; }
+
+void ShedBudget::noteOffer(Importance importance, std::string_view account, double represents)
+{
+    auto found = m_accounts.find(account);
+    if (found == m_accounts.end())
+        found = m_accounts.emplace(account, Account {}).first;
+    found->second.fresh[static_cast<size_t>(importance)] += represents;
+}
+
+void ShedBudget::update(const Observation& seen)
+{
+    const double elapsed = std::chrono::duration<double>(seen.elapsed).count();
+    if (elapsed <= 0)
+        return;
+    smoothDemand(elapsed);
+    smoothCapacity(seen, elapsed);
+    placeBorder();
+}
+
+// Totals follow fast; shares of accounts follow slowly, because each has few samples.
+void ShedBudget::smoothDemand(double elapsed)
+{
+    const double fast = smoothing(elapsed, fastMemory);
+    const double slow = smoothing(elapsed, slowMemory);
+    ByClass fresh {};
+    for (auto& [name, account] : m_accounts) {
+        for (size_t i = 0; i < importanceCount; ++i) {
+            fresh[i] += account.fresh[i];
+            account.rate[i] += slow * (account.fresh[i] / elapsed - account.rate[i]);
+        }
+        account.fresh = {};
+    }
+    for (size_t i = 0; i < importanceCount; ++i) {
+        m_demand[i] += fast * (fresh[i] / elapsed - m_demand[i]);
+        m_slowDemand[i] += slow * (fresh[i] / elapsed - m_slowDemand[i]);
+    }
+    if (++m_updates % forgetEvery == 0) {
+        std::erase_if(m_accounts, [](const auto& entry) {
+            const auto& rate = entry.second.rate;
+            return std::accumulate(rate.begin(), rate.end(), 0.0) < forgottenRate;
+        });
+    }
+}
+
+// While requests wait, what is served is what the backend server can do; the queue is steered to its target. While
+// none wait, the budget grows until it no longer binds.
+void ShedBudget::smoothCapacity(const Observation& seen, double elapsed)
+{
+    // 1. The served rate.
+    m_served += smoothing(elapsed, fastMemory) * (seen.ends / elapsed - m_served);
+    const double demand = std::accumulate(m_demand.begin(), m_demand.end(), 0.0);
+    const double waiting = static_cast<double>(seen.waiting);
+
+    // 2. Shedding begins once the queue has been long for a while.
+    if (!m_shedding) {
+        const bool isLong = seen.overflowed || waiting > queueStart * seen.queueCapacity;
+        m_overflowingUpdates = isLong && seen.saturated ? m_overflowingUpdates + 1 : 0;
+        if (m_overflowingUpdates < updatesBeforeShedding)
+            return;
+        m_shedding = true;
+        m_budget = m_served;
+    }
+
+    // 3. The budget.
+    if (seen.saturated) {
+        const double steering = (queueTarget * seen.queueCapacity - waiting) / queueHorizon;
+        m_budget = std::max(m_served + steering, leastBudget * m_served);
+    } else {
+        m_budget = std::max(m_budget, m_served) * std::pow(m_policy->recovery, elapsed / 0.05) + 1;
+    }
+
+    // 4. Shedding ends.
+    if (!seen.saturated && m_budget > roomToStop * demand) {
+        m_shedding = false;
+        m_overflowingUpdates = 0;
+    }
+}
+
+void ShedBudget::placeBorder()
+{
+    m_border = importanceCount;
+    m_borderSurvival = 1;
+    if (!m_shedding)
+        return;
+    double left = m_budget;
+    for (size_t i = 0; i < importanceCount; ++i) {
+        if (m_demand[i] > left) {
+            m_border = i;
+            m_borderSurvival = std::clamp(left / m_demand[i], 0.0, 1.0);
+            m_share = (this->*m_policy->divide)(left);
+            return;
+        }
+        left -= m_demand[i];
+    }
+}
+
+// The account's share of the class, on the scale of the faster total.
+double ShedBudget::rateOf(const Account& account, size_t importance) const
+{
+    if (m_slowDemand[importance] <= 0)
+        return 0;
+    return account.rate[importance] * m_demand[importance] / m_slowDemand[importance];
+}
+
+// The rate to which accounts are cut so that the budget is just used: max-min fairness.
+double ShedBudget::fairWaterLevel(double budget) const
+{
+    double level = 0;
+    double left = budget;
+    double open = static_cast<double>(m_accounts.size());
+    for (int pass = 0; pass < waterPasses && open > 0; ++pass) {
+        const double next = left / open;
+        if (pass > 0 && next <= level * 1.0001)
+            break;
+        level = next;
+        left = budget;
+        open = 0;
+        for (const auto& [name, account] : m_accounts) {
+            const double rate = rateOf(account, m_border);
+            if (rate <= level)
+                left -= rate;
+            else
+                open += 1;
+        }
+    }
+    return level;
+}
+
+double ShedBudget::evenShare(double budget) const { return budget / std::max(m_demand[m_border], 1e-9); }
+
+double ShedBudget::fairSurvival(const Account& account) const
+{
+    const double rate = rateOf(account, m_border);
+    return rate <= m_share ? 1 : m_share / rate;
+}
+
+double ShedBudget::evenSurvival(const Account&) const { return std::min(1.0, m_share); }
+
+// An account's requests spread evenly up to its rate, so that cutting at any height cuts the largest accounts first.
+double ShedBudget::fairOrder(double rate, double survival) const { return rate * survival; }
+
+double ShedBudget::hashOrder(double, double survival) const { return survival; }
+
+double ShedBudget::level(std::string_view account) const
+{
+    if (m_border == importanceCount)
+        return 0;
+    const double below = double(importanceCount - 1 - m_border);
+    const auto found = m_accounts.find(account);
+    return below + 1 - (found == m_accounts.end() ? 1.0 : (this->*m_policy->survive)(found->second));
+}
+
+double ShedBudget::level() const
+{
+    if (m_border == importanceCount)
+        return 0;
+    return double(importanceCount - 1 - m_border) + 1 - m_borderSurvival;
+}
+
+double ShedBudget::order(Importance importance, std::string_view account, uint64_t treeHash) const
+{
+    const auto found = m_accounts.find(account);
+    const double rate = found == m_accounts.end() ? 0 : rateOf(found->second, static_cast<size_t>(importance));
+    return (this->*m_policy->order)(rate, unitOfHash(treeHash));
+}
+
+} // namespace Vanillaridge
--- a/src/core/Core.cpp
+++ b/src/core/Core.cpp
@@ -19,12 +19,14 @@
 
 Instant SystemClock::now() const { return BootClock::now(); }
 
-double RandomSource::unit()
+double unitOfHash(uint64_t hash)
 {
     constexpr int mantissaBits = 53;
-    return static_cast<double>(next() >> (64 - mantissaBits)) / static_cast<double>(uint64_t(1) << mantissaBits);
+    return static_cast<double>(hash >> (64 - mantissaBits)) / static_cast<double>(uint64_t(1) << mantissaBits);
 }
 
+double RandomSource::unit() { return unitOfHash(next()); }
+
 uint64_t RandomSource::below(uint64_t bound) { return bound ? next() % bound : 0; }
 
 Duration RandomSource::jittered(Duration base, double fraction)
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -90,6 +90,8 @@
 uint64_t stableHash(std::string_view);
 /// Mixes two 64-bit values into one; the same on every node.
 uint64_t mixHash(uint64_t, uint64_t);
+/// Maps a hash evenly to [0, 1).
+double unitOfHash(uint64_t);
 
 /// An IP address and port in the form "address:port".
 using Endpoint = std::string;
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -1,5 +1,7 @@
 #include "messages/Messages.h"
 
+#include <algorithm>
+
 namespace Vanillaridge {
 
 namespace {
@@ -11,6 +13,18 @@
 
 } // namespace
 
+double shedRank(const RequestContext& context)
+{
+    const auto classesBelow = double(importanceCount - 1 - static_cast<size_t>(context.importance));
+    return classesBelow + 1 - unitOfHash(context.treeHash);
+}
+
+double survivalAt(Importance importance, double shedLevel)
+{
+    const auto classesBelow = double(importanceCount - 1 - static_cast<size_t>(importance));
+    return std::clamp(classesBelow + 1 - shedLevel, 0.0, 1.0);
+}
+
 bool isDatagram(const ControlMessage& message)
 {
     return std::visit([](const auto& content) { return goesAsDatagram<std::decay_t<decltype(content)>>; }, message);
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -56,6 +56,13 @@
     double represents { 1 };
 };
 
+/// Where a request stands among those that may be shed, from 0 (shed first) to importanceCount: it is shed while its
+/// rank is below the shed level. Classes go by whole steps; inside a class the stable hash decides, so that the same
+/// whole requests survive on every node.
+double shedRank(const RequestContext&);
+/// The share of an account's requests of this importance that survive at a shed level.
+double survivalAt(Importance, double shedLevel);
+
 /// Opens a stream: a request for the backend server beside the receiver.
 struct OpenRequest {
     RequestContext context;
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -1,1 +1,341 @@
 #include "placement/Placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // Age of feedback from which on it counts no more; until then it fades evenly.
+    constexpr Duration feedbackLife = seconds(1);
+    // Weight of a new shed level, so that the servers of a service are averaged.
+    constexpr double shedSmoothing = 0.25;
+    // Share of requests that pass although they would be shed, to learn when that ends.
+    constexpr double probeFraction = 0.01;
+    // Failures in a row that set a server aside, and for how long: doubled each time.
+    constexpr uint32_t failuresToSetAside = 3;
+    constexpr Duration firstSetAside = seconds(1);
+    constexpr Duration longestSetAside = seconds(30);
+    constexpr double setAsideJitter = 0.2;
+    // Share of a service's servers that always stay in use.
+    constexpr double usedFraction = 0.5;
+    // Load of a server in this zone from which on servers in other zones are looked at too, and what being in another
+    // zone counts for.
+    constexpr double busyLoad = 0.8;
+    constexpr double distanceLoad = 0.1;
+    // Share of its slots that a server is taken to have at the beginning of its slow start.
+    constexpr double coldFraction = 0.2;
+    // Calls are counted with decay: the counts are halved at this many requests.
+    constexpr double requestsRemembered = 256;
+
+    bool isFailure(Reason reason)
+    {
+        return reason == Reason::PeerUnreachable || reason == Reason::BackendUnreachable || reason == Reason::Timeout
+            || reason == Reason::ConnectionLost || reason == Reason::AnswerCutShort || reason == Reason::Internal;
+    }
+
+    ServerRecord makeServerRecord(const MemberUpdate& member, const ServerAnnouncement& announcement, Instant now)
+    {
+        ServerRecord record;
+        record.endpoint = member.endpoint;
+        record.zone = member.zone;
+        record.announcement = announcement;
+        record.knownSince = now;
+        return record;
+    }
+
+    // The servers of one choice, with the group's lock held.
+    struct Candidate {
+        NodeId node;
+        const ServerRecord* record;
+    };
+    using Candidates = std::vector<Candidate>;
+
+} // namespace
+
+struct Placement::State {
+    State(Board& board, Clock& clock, RandomSource& random, PlacementStrategy strategy, EdgeShedding shedding)
+        : board(board)
+        , clock(clock)
+        , random(random)
+        , strategy(strategy)
+        , shedding(shedding)
+    {
+    }
+
+    // What a strategy decides. Rows in the order of PlacementStrategy.
+    using Pick = const Candidate* (State::*)(const Candidates&, Duration slowStart);
+    static const std::array<Pick, 2> picks;
+
+    const Candidate* pickRandom(const Candidates&, Duration slowStart);
+    const Candidate* pickOfTwo(const Candidates&, Duration slowStart);
+    const Candidate* lighterOfTwo(std::span<const Candidate>, Duration slowStart);
+
+    double load(const ServerRecord&, Duration slowStart) const;
+    double ramp(const ServerRecord&, Duration slowStart) const;
+    Candidates usable(const ServerGroup&, std::span<const NodeId> tried) const;
+    void noteResult(ServerRecord&, const CallEnd&);
+    void noteShedLevel(const CallEnd&);
+    void noteCall(const CallEnd&);
+    Duration slowStartOf(std::string_view service) const;
+
+    Board& board;
+    Clock& clock;
+    RandomSource& random;
+    const PlacementStrategy strategy;
+    const EdgeShedding shedding;
+};
+
+const std::array<Placement::State::Pick, 2> Placement::State::picks { &State::pickOfTwo, &State::pickRandom };
+
+// Those not tried and not draining; of these, the ones not set aside, as long as they are enough.
+Candidates Placement::State::usable(const ServerGroup& group, std::span<const NodeId> tried) const
+{
+    Candidates present;
+    for (const auto& [node, server] : group) {
+        const bool wasTried = std::find(tried.begin(), tried.end(), node) != tried.end();
+        if (!wasTried && !server.announcement.draining)
+            present.push_back({ node, &server });
+    }
+    if (strategy == PlacementStrategy::PureRandom)
+        return present;
+
+    // Those set aside longest from now on are left out first; a floor of servers stays in use.
+    const auto now = clock.now();
+    std::sort(present.begin(), present.end(), [](const Candidate& left, const Candidate& right) {
+        return std::pair(left.record->setAsideUntil, left.node) < std::pair(right.record->setAsideUntil, right.node);
+    });
+    const auto floor = static_cast<size_t>(std::ceil(usedFraction * double(present.size())));
+    while (present.size() > floor && present.back().record->setAsideUntil > now)
+        present.pop_back();
+    return present;
+}
+
+double Placement::State::ramp(const ServerRecord& server, Duration slowStart) const
+{
+    const auto age = clock.now() - server.knownSince;
+    if (slowStart <= Duration(0) || age >= slowStart)
+        return 1;
+    const double share = static_cast<double>(age.count()) / static_cast<double>(slowStart.count());
+    return coldFraction + (1 - coldFraction) * share;
+}
+
+// Requests for each slot that the server can be expected to have: what it told, as far as that is fresh, or what is
+// on the way from here, whichever is more.
+double Placement::State::load(const ServerRecord& server, Duration slowStart) const
+{
+    const auto age = clock.now() - server.feedbackAt;
+    const double freshness = std::max(0.0, 1 - double(age.count()) / double(feedbackLife.count()));
+    const double told = freshness * double(server.feedback.running + server.feedback.waiting);
+    const double limit = freshness > 0 ? server.feedback.limit : server.announcement.slots;
+    const double slots = std::max(1.0, limit * (freshness > 0 ? 1 : ramp(server, slowStart)));
+    return (std::max(told, double(server.outstanding)) + 1) / slots;
+}
+
+const Candidate* Placement::State::pickRandom(const Candidates& candidates, Duration)
+{
+    return &candidates[random.below(candidates.size())];
+}
+
+const Candidate* Placement::State::lighterOfTwo(std::span<const Candidate> candidates, Duration slowStart)
+{
+    const auto first = random.below(candidates.size());
+    if (candidates.size() == 1)
+        return &candidates[first];
+    auto second = random.below(candidates.size() - 1);
+    second += second >= first;
+    const bool firstLighter = load(*candidates[first].record, slowStart) <= load(*candidates[second].record, slowStart);
+    return &candidates[firstLighter ? first : second];
+}
+
+// Two in this zone; if the better of them is busy, two elsewhere as well.
+const Candidate* Placement::State::pickOfTwo(const Candidates& candidates, Duration slowStart)
+{
+    Candidates sorted(candidates);
+    const auto& zone = board.self().zone;
+    const auto elsewhere = std::partition(
+        sorted.begin(), sorted.end(), [&](const Candidate& entry) { return entry.record->zone == zone; });
+    const std::span near(sorted.begin(), elsewhere);
+    const std::span far(elsewhere, sorted.end());
+    const auto* best = near.empty() ? nullptr : lighterOfTwo(near, slowStart);
+    if (!far.empty() && (!best || load(*best->record, slowStart) > busyLoad)) {
+        const auto* other = lighterOfTwo(far, slowStart);
+        if (!best || load(*other->record, slowStart) + distanceLoad < load(*best->record, slowStart))
+            best = other;
+    }
+    return &*std::find_if(
+        candidates.begin(), candidates.end(), [&](const Candidate& entry) { return entry.record == best->record; });
+}
+
+Duration Placement::State::slowStartOf(std::string_view service) const
+{
+    const auto configuration = board.configuration().inForce();
+    const auto* declared = configuration ? configuration->service(service) : nullptr;
+    return declared ? declared->slowStart : Duration(0);
+}
+
+// Failures in a row set a server aside; its health endpoint is never asked.
+void Placement::State::noteResult(ServerRecord& server, const CallEnd& end)
+{
+    server.outstanding -= server.outstanding > 0;
+    const auto now = clock.now();
+    if (end.feedback) {
+        server.feedback = *end.feedback;
+        server.feedbackAt = now;
+        server.announcement.draining |= end.feedback->draining;
+    }
+    if (!isFailure(end.reason)) {
+        server.failures = 0;
+        if (end.reason == Reason::None)
+            server.setAsides = 0;
+        return;
+    }
+    if (++server.failures < failuresToSetAside)
+        return;
+    server.failures = failuresToSetAside - 1;
+    if (server.setAsideUntil > now)
+        return;
+    const auto doubled = firstSetAside * (uint64_t(1) << std::min(server.setAsides, 5U));
+    server.setAsideUntil = now + random.jittered(std::min<Duration>(doubled, longestSetAside), setAsideJitter);
+    ++server.setAsides;
+}
+
+// Answers from several servers of one service are averaged; what is old no longer counts.
+void Placement::State::noteShedLevel(const CallEnd& end)
+{
+    const double told = end.feedback->shedLevel;
+    const auto now = clock.now();
+    const FlowKey flow { end.context.route, end.context.account };
+    board.shedRecords().with(flow, [&](auto& records) {
+        auto found = records.find(flow);
+        if (found == records.end()) {
+            if (told > 0)
+                records.emplace(flow, ShedRecord { told, now });
+            return;
+        }
+        auto& record = found->second;
+        const bool isOld = now - record.at > feedbackLife;
+        record.level = isOld ? told : record.level + shedSmoothing * (told - record.level);
+        record.at = now;
+        if (told <= 0 && record.level < 1e-3)
+            records.erase(found);
+    });
+}
+
+void Placement::State::noteCall(const CallEnd& end)
+{
+    board.routeCalls().update(RouteName(end.parentRoute), [&](RouteCallsRecord& record) {
+        record.calls[end.context.route] += 1;
+        if (record.requests < requestsRemembered)
+            return;
+        record.requests /= 2;
+        for (auto& [route, count] : record.calls)
+            count /= 2;
+    });
+}
+
+Placement::Placement(
+    Board& board, Clock& clock, RandomSource& random, PlacementStrategy strategy, EdgeShedding shedding)
+    : m_state(std::make_unique<State>(board, clock, random, strategy, shedding))
+{
+}
+
+Placement::~Placement() = default;
+
+void Placement::refresh()
+{
+    // 1. What is announced now.
+    std::map<ServiceName, ServerGroup> announced;
+    const auto now = m_state->clock.now();
+    m_state->board.members().forEach([&](const NodeId& node, MemberRecord& member) {
+        if (member.said.state != MemberState::Alive)
+            return;
+        for (const auto& server : member.said.servers) {
+            announced[server.service].emplace(node, makeServerRecord(member.said, server, now));
+        }
+    });
+
+    // 2. What is known of servers that stay the same goes on; the rest vanishes.
+    m_state->board.servers().eraseIf(
+        [&](const ServiceName& service, const ServerGroup&) { return !announced.contains(service); });
+    for (auto& [service, group] : announced) {
+        m_state->board.servers().update(service, [&](ServerGroup& known) {
+            for (auto& [node, server] : group) {
+                const auto found = known.find(node);
+                if (found == known.end() || found->second.announcement.generation != server.announcement.generation)
+                    continue;
+                auto kept = found->second;
+                kept.announcement = server.announcement;
+                kept.endpoint = server.endpoint;
+                kept.zone = server.zone;
+                server = std::move(kept);
+            }
+            known = std::move(group);
+        });
+    }
+}
+
+std::optional<PlacementChoice> Placement::choose(std::string_view service, std::span<const NodeId> tried)
+{
+    const auto slowStart = m_state->slowStartOf(service);
+    std::optional<PlacementChoice> choice;
+    m_state->board.servers().visit(ServiceName(service), [&](ServerGroup& group) {
+        const auto candidates = m_state->usable(group, tried);
+        if (candidates.empty())
+            return;
+        const auto pick = State::picks[static_cast<size_t>(m_state->strategy)];
+        const auto* picked = (*m_state.*pick)(candidates, slowStart);
+        choice = { { picked->node, ServiceName(service) }, picked->record->endpoint };
+    });
+    return choice;
+}
+
+void Placement::began(const PlacementChoice& choice)
+{
+    m_state->board.servers().visit(choice.server.service, [&](ServerGroup& group) {
+        const auto found = group.find(choice.server.node);
+        if (found != group.end())
+            ++found->second.outstanding;
+    });
+}
+
+void Placement::ended(const PlacementChoice& choice, const CallEnd& end)
+{
+    m_state->board.servers().visit(choice.server.service, [&](ServerGroup& group) {
+        const auto found = group.find(choice.server.node);
+        if (found != group.end())
+            m_state->noteResult(found->second, end);
+    });
+    if (end.feedback)
+        m_state->noteShedLevel(end);
+    if (!end.parentRoute.empty())
+        m_state->noteCall(end);
+}
+
+// The same requests are shed here that the servers further down would shed, so that no work is done for them.
+bool Placement::shedAtEntry(RequestContext& context)
+{
+    if (m_state->shedding == EdgeShedding::Off)
+        return false;
+    double level = 0;
+    m_state->board.shedRecords().visit({ context.route, context.account }, [&](ShedRecord& record) {
+        if (m_state->clock.now() - record.at < feedbackLife)
+            level = record.level;
+    });
+
+    // 1. Those whose rank is high enough pass, and a few others at random: they tell when it is over.
+    const double survival = survivalAt(context.importance, level);
+    if (survival >= 1)
+        return false;
+    const bool mayProbe = context.depth == 1;
+    if (shedRank(context) < level && !(mayProbe && m_state->random.unit() < probeFraction))
+        return true;
+
+    // 2. What passes stands for what does not.
+    context.represents = std::max(context.represents, 1 / (survival + (1 - survival) * probeFraction));
+    return false;
+}
+
+} // namespace Vanillaridge
