--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -30,10 +30,22 @@
     // Calls are counted with decay: the counts are halved at this many requests.
     constexpr double requestsRemembered = 256;
 
-    bool isFailure(Reason reason)
+    // Whether an end speaks against the server itself. A request whose time ran out does so only when the server's node
+    // was silent about it: otherwise something further down may have been slow.
+    bool isFailure(const CallEnd& end)
     {
-        return reason == Reason::PeerUnreachable || reason == Reason::BackendUnreachable || reason == Reason::Timeout
-            || reason == Reason::ConnectionLost || reason == Reason::AnswerCutShort || reason == Reason::Internal;
+        switch (end.reason) {
+        case Reason::PeerUnreachable:
+        case Reason::BackendUnreachable:
+        case Reason::ConnectionLost:
+        case Reason::AnswerCutShort:
+        case Reason::Internal:
+            return true;
+        case Reason::Timeout:
+            return !end.feedback;
+        default:
+            return false;
+        }
     }
 
     ServerRecord makeServerRecord(const MemberUpdate& member, const ServerAnnouncement& announcement, Instant now)
@@ -186,7 +198,7 @@
         server.feedbackAt = now;
         server.announcement.draining |= end.feedback->draining;
     }
-    if (!isFailure(end.reason)) {
+    if (!isFailure(end)) {
         server.failures = 0;
         if (end.reason == Reason::None)
             server.setAsides = 0;
