--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -53,12 +53,17 @@
     Sharded<NodeId, MemberRecord> members;
     Sharded<ServiceName, ServerGroup> servers;
     Sharded<ServiceName, LocalServerRecord> localServers;
+    Sharded<FlowKey, ShedRecord> shedRecords;
+    Sharded<RouteName, RouteCallsRecord> routeCalls;
     Sharded<RequestId, EntryRecord> entries;
     Sharded<AttemptId, AttemptRecord> attempts;
+    Sharded<AttemptId, VerdictRecord> verdicts;
+    Sharded<DuplicateKey, DuplicateRecord> duplicates;
     ConfigurationFacts configuration;
     Outbox outbox;
     Counters counters;
     std::atomic<bool> draining { false };
+    std::atomic<bool> refusesAttempts { false };
 };
 
 Board::Board(Identity identity)
@@ -76,10 +81,18 @@
 
 Sharded<ServiceName, LocalServerRecord>& Board::localServers() { return m_facts->localServers; }
 
+Sharded<FlowKey, ShedRecord>& Board::shedRecords() { return m_facts->shedRecords; }
+
+Sharded<RouteName, RouteCallsRecord>& Board::routeCalls() { return m_facts->routeCalls; }
+
 Sharded<RequestId, EntryRecord>& Board::entries() { return m_facts->entries; }
 
 Sharded<AttemptId, AttemptRecord>& Board::attempts() { return m_facts->attempts; }
 
+Sharded<AttemptId, VerdictRecord>& Board::verdicts() { return m_facts->verdicts; }
+
+Sharded<DuplicateKey, DuplicateRecord>& Board::duplicates() { return m_facts->duplicates; }
+
 ConfigurationFacts& Board::configuration() { return m_facts->configuration; }
 
 Outbox& Board::outbox() { return m_facts->outbox; }
@@ -90,4 +103,8 @@
 
 void Board::startDraining() { m_facts->draining.store(true, std::memory_order_relaxed); }
 
+bool Board::refusesAttempts() const { return m_facts->refusesAttempts.load(std::memory_order_relaxed); }
+
+void Board::startRefusingAttempts() { m_facts->refusesAttempts.store(true, std::memory_order_relaxed); }
+
 } // namespace Vanillaridge
--- a/src/core/Core.cpp
+++ b/src/core/Core.cpp
@@ -19,12 +19,14 @@
 
 Instant SystemClock::now() const { return BootClock::now(); }
 
-double RandomSource::unit()
+double unitOfHash(uint64_t hash)
 {
     constexpr int mantissaBits = 53;
-    return static_cast<double>(next() >> (64 - mantissaBits)) / static_cast<double>(uint64_t(1) << mantissaBits);
+    return static_cast<double>(hash >> (64 - mantissaBits)) / static_cast<double>(uint64_t(1) << mantissaBits);
 }
 
+double RandomSource::unit() { return unitOfHash(next()); }
+
 uint64_t RandomSource::below(uint64_t bound) { return bound ? next() % bound : 0; }
 
 Duration RandomSource::jittered(Duration base, double fraction)
@@ -189,6 +191,9 @@
         { Reason::AnswerCutShort, "answer-cut-short", 502, unknown, false, "the answer ended before it was whole" },
         { Reason::CallerGone, "caller-gone", 499, unknown, false, "the caller left before the answer" },
         { Reason::Internal, "internal", 500, unknown, false, "a fault of the system itself" },
+        { Reason::MessageTooOld, "message-too-old", 503, notRun, true,
+            "the request was on its way to the backend server's node for too long" },
+        { Reason::MemoryFull, "memory-full", 503, notRun, true, "no room to remember another request" },
     } };
 
 } // namespace
