--- /dev/null
+++ b/src/platformclient/FilePlatform.cpp
@@ -0,0 +1,148 @@
+#include "platformclient/PlatformClient.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <map>
+#include <mutex>
+
+namespace Vanillaridge {
+
+namespace {
+
+    constexpr size_t valueLimit = 1 << 20;
+    // How often a watch looks at the objects and at the file.
+    constexpr Duration lookPeriod = milliseconds(500);
+
+} // namespace
+
+struct FilePlatform::Store : std::enable_shared_from_this<Store> {
+    Store(boost::asio::io_context& context, std::string file)
+        : context(context)
+        , file(std::move(file))
+    {
+    }
+
+    // Takes the file's content as the manifest if it has changed; a file that cannot be read changes nothing.
+    void readManifest()
+    {
+        auto text = boost::leaf::try_handle_all([&] { return readFile(file, valueLimit); },
+            [](const FileError&) { return std::string(); }, [] { return std::string(); });
+        auto& object = objects[std::string(manifestObject)];
+        if (!text.empty() && text != object.value)
+            object = { std::string(manifestObject), ++newestVersion, std::move(text) };
+    }
+
+    PlatformResult<StoredObject> read(const std::string& name)
+    {
+        std::lock_guard guard(lock);
+        readManifest();
+        const auto found = objects.find(name);
+        if (found == objects.end() || !found->second.version)
+            return PlatformError::NotFound;
+        return found->second;
+    }
+
+    PlatformResult<std::vector<StoredObject>> list(std::string_view prefix)
+    {
+        std::lock_guard guard(lock);
+        readManifest();
+        std::vector<StoredObject> matching;
+        for (const auto& [name, object] : objects) {
+            if (name.starts_with(prefix) && object.version)
+                matching.push_back(object);
+        }
+        return matching;
+    }
+
+    // Replaces or removes the object if it is at the expected version.
+    PlatformResult<uint64_t> change(const std::string& name, uint64_t expected, std::optional<std::string> value)
+    {
+        std::lock_guard guard(lock);
+        readManifest();
+        const auto found = objects.find(name);
+        const auto present = found == objects.end() ? absentVersion : found->second.version;
+        if (present != expected)
+            return PlatformError::Conflict;
+        if (!value) {
+            objects.erase(name);
+            return present;
+        }
+        objects[name] = { name, ++newestVersion, std::move(*value) };
+        return newestVersion;
+    }
+
+    // Looks again and again, with a timer in between, until the object has changed or the patience is over.
+    void watch(const std::string& name, uint64_t pastVersion, Duration patience, Callback<StoredObject> done)
+    {
+        auto object = read(name);
+        if (patience <= Duration(0) || (object && object.value().version > pastVersion)) {
+            done(std::move(object));
+            return;
+        }
+        const auto step = std::min(lookPeriod, patience);
+        auto timer = std::make_shared<boost::asio::steady_timer>(context, step);
+        timer->async_wait([self = shared_from_this(), timer, name, pastVersion, left = patience - step,
+                              done = std::move(done)](boost::system::error_code error) mutable {
+            if (!error)
+                self->watch(name, pastVersion, left, std::move(done));
+        });
+    }
+
+    // Answers from the event loop, never from within the call.
+    template <typename Value, typename Work> void answer(Callback<Value> done, Work work)
+    {
+        boost::asio::post(context,
+            [self = shared_from_this(), done = std::move(done), work = std::move(work)] { done(work(*self)); });
+    }
+
+    boost::asio::io_context& context;
+    const std::string file;
+    std::mutex lock;
+    std::map<std::string, StoredObject, std::less<>> objects;
+    uint64_t newestVersion { 0 };
+};
+
+FilePlatform::FilePlatform(boost::asio::io_context& context, std::string manifestFile)
+    : m_store(std::make_shared<Store>(context, std::move(manifestFile)))
+{
+}
+
+FilePlatform::~FilePlatform() = default;
+
+void FilePlatform::get(std::string_view name, Callback<StoredObject> done)
+{
+    m_store->answer(std::move(done), [name = std::string(name)](Store& store) { return store.read(name); });
+}
+
+void FilePlatform::list(std::string_view prefix, Callback<std::vector<StoredObject>> done)
+{
+    m_store->answer(std::move(done), [prefix = std::string(prefix)](Store& store) { return store.list(prefix); });
+}
+
+void FilePlatform::put(std::string_view name, std::string_view value, uint64_t expectedVersion, Callback<uint64_t> done)
+{
+    m_store->answer(
+        std::move(done), [name = std::string(name), value = std::string(value), expectedVersion](Store& store) {
+            return store.change(name, expectedVersion, value);
+        });
+}
+
+void FilePlatform::remove(std::string_view name, uint64_t expectedVersion, Callback<uint64_t> done)
+{
+    m_store->answer(std::move(done), [name = std::string(name), expectedVersion](Store& store) {
+        return store.change(name, expectedVersion, std::nullopt);
+    });
+}
+
+void FilePlatform::watch(std::string_view name, uint64_t pastVersion, Duration patience, Callback<StoredObject> done)
+{
+    boost::asio::post(m_store->context,
+        [store = m_store, name = std::string(name), pastVersion, patience, done = std::move(done)]() mutable {
+            store->watch(name, pastVersion, patience, std::move(done));
+        });
+}
+
+} // namespace Vanillaridge
