--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -90,6 +90,8 @@
     uint32_t retriesUsed { 0 };
     /// Bytes of the body, when known beforehand.
     std::optional<uint64_t> contentLength {};
+    /// From sending the request to the backend server until its answer began.
+    Duration backendTime { 0 };
 };
 
 /// The guard's own answer: the request has not run, or may have, as the reason says.
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -334,6 +334,7 @@
     attempt.usedBelow = head.retriesUsed;
     attempt.feedback = head.feedback;
     m_parts.control.retry.collect(id(), attempt.lent, attempt.usedBelow);
+    m_parts.addedLatency.record(m_parts.clock.now() - m_receivedAt - head.backendTime);
 
     // 1. The head.
     ReplyHead reply { head.status, std::move(head.headers), head.hasBody, head.contentLength };
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -178,6 +178,7 @@
         refuse(m_cancelled != Reason::None ? m_cancelled : late ? Reason::DeadlineExceeded : Reason::Barred, false);
         co_return;
     }
+    m_startedAt = m_parts.clock.now();
     if (co_await m_call->writeHead(headForBackend())) {
         if (m_open.hasBody) {
             m_sendingBody = true;
@@ -220,6 +221,7 @@
     answer.contentLength = head->contentLength;
     answer.feedback = m_parts.control.admission.feedback(context());
     answer.retriesUsed = retriesUsed();
+    answer.backendTime = m_parts.clock.now() - m_startedAt;
     m_stream->send(std::move(answer));
 
     // 2. The body. One that ends early is said to.
--- a/src/node/GuardAttempt.h
+++ b/src/node/GuardAttempt.h
@@ -43,6 +43,7 @@
     MessageStreamPointer m_stream;
     OpenRequest m_open;
     Instant m_deadline;
+    Instant m_startedAt;
     boost::asio::steady_timer m_timer;
 
     /// Why nobody waits for the answer any more; None as long as somebody does.
--- /dev/null
+++ b/src/node/Handlers.h
@@ -0,0 +1,65 @@
+/// What the node's three HTTP addresses do with requests. Private to the node library.
+#pragma once
+
+#include "node/EntryFlow.h"
+
+namespace Vanillaridge {
+
+/// What all addresses do with what is no request.
+class CountingHandler : public HttpHandler {
+public:
+    explicit CountingHandler(Board& board)
+        : m_board(board)
+    {
+    }
+    SimpleReply rejection(Reason) override;
+
+protected:
+    Board& m_board;
+};
+
+/// Callers' requests.
+class CallerHandler final : public CountingHandler {
+public:
+    CallerHandler(Board& board, EntryFlow& flow)
+        : CountingHandler(board)
+        , m_flow(flow)
+    {
+    }
+    Task<void> serve(std::shared_ptr<HttpExchange>) override;
+
+private:
+    EntryFlow& m_flow;
+};
+
+/// The backend servers beside this node: their announcements, and their calls.
+class ServerHandler final : public CountingHandler {
+public:
+    ServerHandler(Parts& parts, EntryFlow& flow)
+        : CountingHandler(parts.board)
+        , m_parts(parts)
+        , m_flow(flow)
+    {
+    }
+    Task<void> serve(std::shared_ptr<HttpExchange>) override;
+
+private:
+    Parts& m_parts;
+    EntryFlow& m_flow;
+};
+
+/// Operators: metrics, liveness, readiness, status.
+class OperatorHandler final : public CountingHandler {
+public:
+    explicit OperatorHandler(Parts& parts)
+        : CountingHandler(parts.board)
+        , m_parts(parts)
+    {
+    }
+    Task<void> serve(std::shared_ptr<HttpExchange>) override;
+
+private:
+    Parts& m_parts;
+};
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/node/LatencyHistogram.h
@@ -0,0 +1,30 @@
+/// How long requests spent in the system beside their backend server's own time. Private to the node library.
+#pragma once
+
+#include "core/Core.h"
+
+namespace Vanillaridge {
+
+/// Counts durations in bins whose width grows with the duration. Any thread may record and read.
+class LatencyHistogram {
+public:
+    LatencyHistogram();
+    ~LatencyHistogram();
+
+    void record(Duration);
+
+    /// Durations recorded up to and including `upTo`.
+    struct Bin {
+        Duration upTo;
+        uint64_t cumulative;
+    };
+    std::vector<Bin> bins() const;
+    uint64_t count() const;
+    Duration sum() const;
+
+private:
+    struct Counts;
+    std::unique_ptr<Counts> m_counts;
+};
+
+} // namespace Vanillaridge
--- a/src/node/Parts.h
+++ b/src/node/Parts.h
@@ -9,6 +9,7 @@
 #include "freshness/Freshness.h"
 #include "http/Http.h"
 #include "membership/Membership.h"
+#include "node/LatencyHistogram.h"
 #include "peer/Peer.h"
 #include "placement/Placement.h"
 #include "quota/Quota.h"
@@ -63,8 +64,8 @@
     Controllers& control;
     PeerTransport& peers;
     BackendPool& backends;
-    /// Milliseconds that served requests spent in this node beside the backend server's own time.
-    class LatencyHistogram& addedLatency;
+    /// Time that served requests spent in this node beside the backend server's own time.
+    LatencyHistogram& addedLatency;
 };
 
 } // namespace Vanillaridge
--- /dev/null
+++ b/src/node/Report.cpp
@@ -0,0 +1,181 @@
+#include "node/Report.h"
+
+#include "node/LatencyHistogram.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace Vanillaridge {
+
+namespace json = boost::json;
+
+// --- Metrics --------------------------------------------------------------------------------------------------------
+
+namespace {
+
+void appendCounters(std::string& text, const Counters& counters)
+{
+    for (const auto& entry : counterTable()) {
+        text += fmt::format("# HELP vanillaridge_{0}_total {1}\n# TYPE vanillaridge_{0}_total counter\n"
+                            "vanillaridge_{0}_total {2}\n",
+            entry.name, entry.help, counters.value(entry.counter));
+    }
+}
+
+// One family with a sample for each reason.
+void appendReasons(
+    std::string& text, std::string_view family, std::string_view help, const std::function<uint64_t(Reason)>& count)
+{
+    text += fmt::format("# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} counter\n", family, help);
+    for (const auto& entry : reasonTable()) {
+        if (entry.reason != Reason::None)
+            text += fmt::format("vanillaridge_{}{{reason=\"{}\"}} {}\n", family, entry.name, count(entry.reason));
+    }
+}
+
+void appendGauge(std::string& text, std::string_view name, std::string_view help, double value)
+{
+    text += fmt::format("# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} gauge\nvanillaridge_{0} {2}\n", name,
+        help, value);
+}
+
+void appendLatency(std::string& text, const LatencyHistogram& histogram)
+{
+    constexpr std::string_view name = "vanillaridge_added_latency_seconds";
+    text += fmt::format("# HELP {0} time requests spent beside their backend server's own\n# TYPE {0} histogram\n", name);
+    for (const auto& bin : histogram.bins()) {
+        text += fmt::format("{}_bucket{{le=\"{:.6f}\"}} {}\n", name,
+            std::chrono::duration<double>(bin.upTo).count(), bin.cumulative);
+    }
+    text += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_count {1}\n{0}_sum {2:.6f}\n", name, histogram.count(),
+        std::chrono::duration<double>(histogram.sum()).count());
+}
+
+} // namespace
+
+std::string metricsText(Parts& parts)
+{
+    auto& board = parts.board;
+    std::string text;
+    appendCounters(text, board.counters());
+    appendReasons(text, "refusals_total", "requests that the system answered itself, by reason",
+        [&](Reason reason) { return board.counters().refusals(reason); });
+    appendReasons(text, "retries_total", "further tries after the first, by the reason of the one before",
+        [&](Reason reason) { return board.counters().retries(reason); });
+    const auto configuration = board.configuration().inForce();
+    appendGauge(text, "configuration_number", "number of the configuration in force",
+        configuration ? static_cast<double>(configuration->number()) : 0);
+    appendGauge(text, "members", "members that are alive or suspected",
+        static_cast<double>(parts.control.membership.liveMembers()));
+    appendGauge(text, "running_entries", "requests that entered here and have no answer yet",
+        static_cast<double>(board.entries().size()));
+    appendGauge(text, "running_attempts", "attempts at backend servers beside this node",
+        static_cast<double>(board.attempts().size()));
+    appendLatency(text, parts.addedLatency);
+    return text;
+}
+
+// --- Status ---------------------------------------------------------------------------------------------------------
+
+namespace {
+
+std::string_view toText(MemberState state)
+{
+    constexpr std::array<std::string_view, 4> names { "alive", "suspect", "left", "dead" };
+    return names[static_cast<size_t>(state)];
+}
+
+json::array membersStatus(Parts& parts)
+{
+    json::array members;
+    parts.board.members().forEach([&](NodeId, const MemberRecord& member) {
+        members.push_back(json::object { { "endpoint", member.said.endpoint }, { "zone", member.said.zone },
+            { "state", toText(member.said.state) }, { "incarnation", member.said.incarnation.value } });
+    });
+    return members;
+}
+
+json::array serversStatus(Parts& parts)
+{
+    json::array servers;
+    parts.board.servers().forEach([&](const ServiceName& service, const ServerGroup& group) {
+        for (const auto& [node, server] : group) {
+            servers.push_back(json::object { { "service", service }, { "node", server.endpoint },
+                { "zone", server.zone }, { "slots", server.announcement.slots },
+                { "draining", server.announcement.draining }, { "outstanding", server.outstanding },
+                { "limit", server.feedback.limit }, { "shedLevel", server.feedback.shedLevel } });
+        }
+    });
+    return servers;
+}
+
+json::array localServersStatus(Parts& parts)
+{
+    std::vector<std::pair<ServiceName, LocalServerRecord>> records;
+    parts.board.localServers().forEach([&](const ServiceName& service, const LocalServerRecord& record) {
+        records.emplace_back(service, record);
+    });
+    json::array servers;
+    for (const auto& [service, record] : records) {
+        const auto load = parts.control.admission.feedback(service);
+        servers.push_back(json::object { { "service", service }, { "endpoint", record.endpoint },
+            { "slots", record.announcement.slots }, { "draining", record.announcement.draining },
+            { "running", load.running }, { "waiting", load.waiting }, { "limit", load.limit },
+            { "shedLevel", load.shedLevel } });
+    }
+    return servers;
+}
+
+json::object quotaStatus(Parts& parts)
+{
+    const auto status = parts.control.quota.status();
+    json::array slots;
+    for (const auto slot : status.heldSlots)
+        slots.push_back(slot);
+    json::array accounts;
+    for (const auto& account : status.accounts) {
+        accounts.push_back(json::object { { "account", account.account }, { "tokens", account.tokens },
+            { "demandPerSecond", account.demand }, { "waiting", account.waiting } });
+    }
+    return { { "strategy", status.strategy }, { "heldSlots", std::move(slots) }, { "accounts", std::move(accounts) } };
+}
+
+} // namespace
+
+std::string statusText(Parts& parts)
+{
+    const auto& self = parts.board.self();
+    const auto configuration = parts.board.configuration().inForce();
+    const auto freshness = parts.board.configuration().freshness();
+    json::object status {
+        { "node", self.endpoint },
+        { "zone", self.zone },
+        { "draining", parts.board.draining() },
+        { "ready", obstacleToReadiness(parts).empty() },
+        { "configuration",
+            json::object { { "number", configuration ? configuration->number() : 0 },
+                { "newest", freshness.newestNumber },
+                { "confirmedMillisecondsAgo",
+                    std::chrono::duration_cast<milliseconds>(parts.control.freshness.age()).count() },
+                { "platformReachable", freshness.platformReachable },
+                { "servesKeyed", parts.control.freshness.mayServeKeyed() } } },
+        { "members", membersStatus(parts) },
+        { "servers", serversStatus(parts) },
+        { "localServers", localServersStatus(parts) },
+        { "quota", quotaStatus(parts) },
+    };
+    return json::serialize(status) + "\n";
+}
+
+std::string obstacleToReadiness(Parts& parts)
+{
+    if (parts.board.draining())
+        return "draining";
+    if (!parts.board.configuration().inForce())
+        return "no configuration";
+    if (!parts.control.freshness.mayServeKeyed())
+        return "configuration not confirmed";
+    return {};
+}
+
+} // namespace Vanillaridge
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -62,8 +62,8 @@
 
 template <typename Archive> void serialize(Archive& archive, AnswerHead& message)
 {
-    auto& [attempt, guard, status, headers, hasBody, feedback, retriesUsed, contentLength] = message;
-    archive(attempt, guard, status, headers, hasBody, feedback, retriesUsed, contentLength);
+    auto& [attempt, guard, status, headers, hasBody, feedback, retriesUsed, contentLength, backendTime] = message;
+    archive(attempt, guard, status, headers, hasBody, feedback, retriesUsed, contentLength, backendTime);
 }
 
 template <typename Archive> void serialize(Archive& archive, Refusal& message)
