--- a/src/dissemination/Dissemination.h
+++ b/src/dissemination/Dissemination.h
@@ -35,10 +35,6 @@
     virtual CheckedManifest assemble(std::span<const ConfigurationSection>) const = 0;
 };
 
-/// Names of the platform's objects that are used here.
-constexpr std::string_view manifestObject = "manifest";
-constexpr std::string_view manifestStatusObject = "status/manifest";
-
 struct DisseminationSettings {
     /// Members of each zone that watch the platform.
     uint32_t watchersPerZone { 2 };
--- a/src/log/Log.h
+++ b/src/log/Log.h
@@ -9,6 +9,7 @@
 namespace Vanillaridge {
 
 enum class LogLevel : uint8_t { Error, Warning, Info, Debug };
+std::string_view toText(LogLevel);
 
 /// One key=value pair. Values with spaces or quotes are quoted.
 struct LogField {
--- a/src/node/LatencyHistogram.cpp
+++ b/src/node/LatencyHistogram.cpp
@@ -6,21 +6,21 @@
 
 namespace {
 
-namespace histogram = boost::histogram;
+    namespace histogram = boost::histogram;
 
-constexpr unsigned binCount = 40;
-constexpr double shortestMicroseconds = 20;
-constexpr double longestMicroseconds = 10'000'000;
+    constexpr unsigned binCount = 40;
+    constexpr double shortestMicroseconds = 20;
+    constexpr double longestMicroseconds = 10'000'000;
 
-using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
-using Storage = histogram::dense_storage<histogram::accumulators::count<uint64_t, true>>;
+    using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+    using Storage = histogram::dense_storage<histogram::accumulators::count<uint64_t, true>>;
 
-auto makeHistogram()
-{
-    return histogram::make_histogram_with(Storage(), Axis(binCount, shortestMicroseconds, longestMicroseconds));
-}
+    auto makeHistogram()
+    {
+        return histogram::make_histogram_with(Storage(), Axis(binCount, shortestMicroseconds, longestMicroseconds));
+    }
 
-double microsecondsOf(Duration duration) { return std::chrono::duration<double, std::micro>(duration).count(); }
+    double microsecondsOf(Duration duration) { return std::chrono::duration<double, std::micro>(duration).count(); }
 
 } // namespace
 
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,233 @@
+#include "node/Node.h"
+
+#include "log/Log.h"
+#include "node/Duties.h"
+#include "node/GuardFlow.h"
+#include "node/Handlers.h"
+#include "node/ManifestReader.h"
+#include "platformclient/PlatformClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <thread>
+
+namespace Vanillaridge {
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+
+namespace {
+
+    // How long a leaving node goes on as before, while the others hear that it leaves.
+    constexpr Duration announcementTime = seconds(3);
+    constexpr Duration drainLookPeriod = milliseconds(20);
+    // How long the last messages have to leave.
+    constexpr Duration farewellTime = milliseconds(300);
+
+    HttpLimits httpLimits(const LimitSettings& settings)
+    {
+        HttpLimits limits;
+        limits.headBytes = static_cast<uint32_t>(settings.headSize);
+        limits.headTimeout = settings.headTimeout;
+        limits.pieceTimeout = settings.bodyTimeout;
+        limits.idleTimeout = settings.idleTimeout;
+        limits.connections = settings.connections;
+        return limits;
+    }
+
+    Identity identityOf(const Settings& settings, RandomSource& random)
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        const auto started = std::chrono::duration_cast<microseconds>(sinceEpoch).count();
+        return { settings.addresses.peers, settings.zone, { random.next() }, { static_cast<uint64_t>(started) } };
+    }
+
+    /// Everything of one node. Members are made in the order in which they refer to each other.
+    class Node {
+    public:
+        explicit Node(const Settings&);
+
+        NodeEnd run();
+
+    private:
+        bool listen();
+        void join();
+        Task<void> awaitStop();
+        Task<void> drain();
+        Task<bool> awaitLastRequest();
+        Task<void> pause(Duration);
+        bool idle();
+
+        const Settings& m_settings;
+        boost::asio::io_context m_context;
+        SystemClock m_clock;
+        std::unique_ptr<RandomSource> m_random;
+        Board m_board;
+        std::unique_ptr<Platform> m_platform;
+        ManifestReader m_manifestReader;
+        Controllers m_control;
+        BackendPool m_backends;
+        LatencyHistogram m_addedLatency;
+        GuardFlow m_guardFlow;
+        PeerTransport m_peers;
+        Parts m_parts;
+        EntryFlow m_entryFlow;
+        CallerHandler m_callerHandler;
+        ServerHandler m_serverHandler;
+        OperatorHandler m_operatorHandler;
+        HttpServer m_callers;
+        HttpServer m_servers;
+        HttpServer m_operators;
+        Duties m_duties;
+        boost::asio::signal_set m_signals;
+        NodeEnd m_end { NodeEnd::Drained };
+    };
+
+    Node::Node(const Settings& settings)
+        : m_settings(settings)
+        , m_context(static_cast<int>(settings.threads))
+        , m_random(makeSystemRandom())
+        , m_board(identityOf(settings, *m_random))
+        , m_platform(makePlatform(m_context, settings.platform, m_clock, *m_random, m_board.counters()))
+        , m_control(m_board, m_clock, *m_random, *m_platform, m_manifestReader, settings)
+        , m_backends(m_context)
+        , m_guardFlow(m_parts)
+        , m_peers(m_context, m_board, m_clock, *m_random, settings.secret.reveal(), m_guardFlow)
+        , m_parts { m_context, m_board, m_clock, *m_random, m_control, m_peers, m_backends, m_addedLatency }
+        , m_entryFlow(m_parts)
+        , m_callerHandler(m_board, m_entryFlow)
+        , m_serverHandler(m_parts, m_entryFlow)
+        , m_operatorHandler(m_parts)
+        , m_callers(m_context, httpLimits(settings.limits), m_callerHandler)
+        , m_servers(m_context, httpLimits(settings.limits), m_serverHandler)
+        , m_operators(m_context, httpLimits(settings.limits), m_operatorHandler)
+        , m_duties(m_parts)
+        , m_signals(m_context, SIGTERM, SIGINT)
+    {
+    }
+
+    // Opens one address; says which, if it cannot.
+    template <typename Listen> bool opened(std::string_view what, const Endpoint& endpoint, Listen&& listen)
+    {
+        if (!listen())
+            return true;
+        log(LogLevel::Error, "cannot-listen", { { "address", what }, { "endpoint", endpoint } });
+        return false;
+    }
+
+    bool Node::listen()
+    {
+        const auto& addresses = m_settings.addresses;
+        return opened("peers", addresses.peers, [&] { return m_peers.start(); })
+            && opened("callers", addresses.callers, [&] { return m_callers.listen(addresses.callers); })
+            && opened("servers", addresses.servers, [&] { return m_servers.listen(addresses.servers); })
+            && opened("operators", addresses.operators, [&] { return m_operators.listen(addresses.operators); });
+    }
+
+    // Ties the controllers to each other's news.
+    void Node::join()
+    {
+        m_control.membership.onChange([this](std::span<const NodeId>) { m_control.placement.refresh(); });
+        m_control.directory.onContacts(
+            [this](std::span<const Endpoint> contacts) { m_control.membership.contacts(contacts); });
+        m_control.dissemination.onAdopted([](const ConfigurationPointer& configuration) {
+            log(LogLevel::Info, "configuration-adopted", { { "number", configuration->number() } });
+        });
+        m_control.membership.contacts(m_settings.contacts);
+    }
+
+    NodeEnd Node::run()
+    {
+        // 1. Addresses first: a node that cannot be reached must not announce itself.
+        if (!listen())
+            return NodeEnd::CouldNotStart;
+        join();
+
+        // 2. Duties and requests, until asked to stop.
+        m_duties.start();
+        boost::asio::co_spawn(m_context, awaitStop(), boost::asio::detached);
+        log(LogLevel::Info, "node-started",
+            { { "peers", m_settings.addresses.peers }, { "callers", m_settings.addresses.callers },
+                { "zone", m_settings.zone } });
+        std::vector<std::thread> threads;
+        for (uint32_t i = 1; i < m_settings.threads; ++i)
+            threads.emplace_back([this] { m_context.run(); });
+        m_context.run();
+        for (auto& thread : threads)
+            thread.join();
+
+        // 3. Nothing runs any more.
+        m_duties.stop();
+        log(LogLevel::Info, "node-stopped", { { "drained", m_end == NodeEnd::Drained } });
+        return m_end;
+    }
+
+    Task<void> Node::awaitStop()
+    {
+        boost::system::error_code ignored;
+        co_await m_signals.async_wait(redirect_error(use_awaitable, ignored));
+        co_await drain();
+        m_duties.stop();
+        m_context.stop();
+    }
+
+    Task<void> Node::pause(Duration time)
+    {
+        boost::asio::steady_timer timer(m_context, time);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(redirect_error(use_awaitable, ignored));
+    }
+
+    bool Node::idle() { return !m_board.entries().size() && !m_board.attempts().size(); }
+
+    // False when requests are still running at the limit.
+    Task<bool> Node::awaitLastRequest()
+    {
+        const auto limit = m_clock.now() + m_settings.limits.drainLimit;
+        while (!idle()) {
+            if (m_clock.now() >= limit)
+                co_return false;
+            co_await pause(drainLookPeriod);
+        }
+        co_return true;
+    }
+
+    // A planned stop: first the others hear of it while everything goes on, then nothing new is taken, and what runs is
+    // waited for.
+    Task<void> Node::drain()
+    {
+        // 1. Announce it. Duties that others can take up are given up at once.
+        log(LogLevel::Info, "node-draining");
+        m_board.startDraining();
+        m_control.quota.release();
+        co_await pause(announcementTime);
+
+        // 2. Take nothing new; connections end with the reply they carry.
+        m_board.startRefusingAttempts();
+        m_callers.drain();
+        if (!co_await awaitLastRequest()) {
+            m_end = NodeEnd::DrainLimitReached;
+            log(LogLevel::Warning, "drain-limit-reached",
+                { { "entries", m_board.entries().size() }, { "attempts", m_board.attempts().size() } });
+        }
+
+        // 3. Say goodbye.
+        m_control.membership.leave();
+        co_await pause(farewellTime);
+        m_peers.stop();
+    }
+
+} // namespace
+
+NodeEnd runNode(const Settings& settings)
+{
+    setLogLevel(settings.logLevel);
+    return Node(settings).run();
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/node/Parts.cpp
@@ -0,0 +1,45 @@
+#include "node/Parts.h"
+
+namespace Vanillaridge {
+
+void AdmissionWaiters::add(const AttemptId& attempt, Tell tell)
+{
+    m_waiting.update(attempt, [&](Tell& present) { present = std::move(tell); });
+    m_count.fetch_add(1);
+}
+
+void AdmissionWaiters::remove(const AttemptId& attempt)
+{
+    if (m_waiting.erase(attempt))
+        m_count.fetch_sub(1);
+}
+
+void AdmissionWaiters::tell(std::span<const AdmissionChange> changes)
+{
+    for (const auto& change : changes) {
+        Tell tell;
+        m_waiting.visit(change.attempt, [&](const Tell& present) { tell = present; });
+        if (tell)
+            tell(change.decision);
+    }
+}
+
+Controllers::Controllers(Board& board, SystemClock& clock, RandomSource& random, Platform& platform,
+    const ManifestCodec& codec, const Settings& settings)
+    : localServers(board, clock)
+    , membership(board, clock, random, settings.membership)
+    , directory(board, clock, random, platform, {})
+    , dissemination(board, clock, random, platform, codec, {})
+    , freshness(board, clock, {})
+    , quota(board, clock, random, platform, settings.quota)
+    , retry(board, clock, random)
+    , entry(board, clock, random, freshness, retry)
+    , placement(board, clock, random)
+    , admission(board, clock, random)
+    , guardLedger(board, clock)
+    , entryLedger(board)
+    , duplicates(board, clock)
+{
+}
+
+} // namespace Vanillaridge
--- a/src/node/Parts.h
+++ b/src/node/Parts.h
@@ -37,7 +37,7 @@
 
 /// The controllers of a node, in the order in which they depend on each other. They meet on the board only.
 struct Controllers {
-    Controllers(Board&, const SystemClock&, RandomSource&, Platform&, const ManifestCodec&, const Settings&);
+    Controllers(Board&, SystemClock&, RandomSource&, Platform&, const ManifestCodec&, const Settings&);
 
     LocalServers localServers;
     Membership membership;
--- a/src/node/Report.cpp
+++ b/src/node/Report.cpp
@@ -13,43 +13,44 @@
 
 namespace {
 
-void appendCounters(std::string& text, const Counters& counters)
-{
-    for (const auto& entry : counterTable()) {
-        text += fmt::format("# HELP vanillaridge_{0}_total {1}\n# TYPE vanillaridge_{0}_total counter\n"
-                            "vanillaridge_{0}_total {2}\n",
-            entry.name, entry.help, counters.value(entry.counter));
+    void appendCounters(std::string& text, const Counters& counters)
+    {
+        for (const auto& entry : counterTable()) {
+            text += fmt::format("# HELP vanillaridge_{0}_total {1}\n# TYPE vanillaridge_{0}_total counter\n"
+                                "vanillaridge_{0}_total {2}\n",
+                entry.name, entry.help, counters.value(entry.counter));
+        }
     }
-}
 
-// One family with a sample for each reason.
-void appendReasons(
-    std::string& text, std::string_view family, std::string_view help, const std::function<uint64_t(Reason)>& count)
-{
-    text += fmt::format("# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} counter\n", family, help);
-    for (const auto& entry : reasonTable()) {
-        if (entry.reason != Reason::None)
-            text += fmt::format("vanillaridge_{}{{reason=\"{}\"}} {}\n", family, entry.name, count(entry.reason));
+    // One family with a sample for each reason.
+    void appendReasons(
+        std::string& text, std::string_view family, std::string_view help, const std::function<uint64_t(Reason)>& count)
+    {
+        text += fmt::format("# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} counter\n", family, help);
+        for (const auto& entry : reasonTable()) {
+            if (entry.reason != Reason::None)
+                text += fmt::format("vanillaridge_{}{{reason=\"{}\"}} {}\n", family, entry.name, count(entry.reason));
+        }
     }
-}
 
-void appendGauge(std::string& text, std::string_view name, std::string_view help, double value)
-{
-    text += fmt::format("# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} gauge\nvanillaridge_{0} {2}\n", name,
-        help, value);
-}
+    void appendGauge(std::string& text, std::string_view name, std::string_view help, double value)
+    {
+        text += fmt::format(
+            "# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} gauge\nvanillaridge_{0} {2}\n", name, help, value);
+    }
 
-void appendLatency(std::string& text, const LatencyHistogram& histogram)
-{
-    constexpr std::string_view name = "vanillaridge_added_latency_seconds";
-    text += fmt::format("# HELP {0} time requests spent beside their backend server's own\n# TYPE {0} histogram\n", name);
-    for (const auto& bin : histogram.bins()) {
-        text += fmt::format("{}_bucket{{le=\"{:.6f}\"}} {}\n", name,
-            std::chrono::duration<double>(bin.upTo).count(), bin.cumulative);
+    void appendLatency(std::string& text, const LatencyHistogram& histogram)
+    {
+        constexpr std::string_view name = "vanillaridge_added_latency_seconds";
+        text += fmt::format(
+            "# HELP {0} time requests spent beside their backend server's own\n# TYPE {0} histogram\n", name);
+        for (const auto& bin : histogram.bins()) {
+            text += fmt::format("{}_bucket{{le=\"{:.6f}\"}} {}\n", name,
+                std::chrono::duration<double>(bin.upTo).count(), bin.cumulative);
+        }
+        text += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_count {1}\n{0}_sum {2:.6f}\n", name, histogram.count(),
+            std::chrono::duration<double>(histogram.sum()).count());
     }
-    text += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_count {1}\n{0}_sum {2:.6f}\n", name, histogram.count(),
-        std::chrono::duration<double>(histogram.sum()).count());
-}
 
 } // namespace
 
@@ -79,66 +80,67 @@
 
 namespace {
 
-std::string_view toText(MemberState state)
-{
-    constexpr std::array<std::string_view, 4> names { "alive", "suspect", "left", "dead" };
-    return names[static_cast<size_t>(state)];
-}
+    std::string_view toText(MemberState state)
+    {
+        constexpr std::array<std::string_view, 4> names { "alive", "suspect", "left", "dead" };
+        return names[static_cast<size_t>(state)];
+    }
 
-json::array membersStatus(Parts& parts)
-{
-    json::array members;
-    parts.board.members().forEach([&](NodeId, const MemberRecord& member) {
-        members.push_back(json::object { { "endpoint", member.said.endpoint }, { "zone", member.said.zone },
-            { "state", toText(member.said.state) }, { "incarnation", member.said.incarnation.value } });
-    });
-    return members;
-}
+    json::array membersStatus(Parts& parts)
+    {
+        json::array members;
+        parts.board.members().forEach([&](NodeId, const MemberRecord& member) {
+            members.push_back(json::object { { "endpoint", member.said.endpoint }, { "zone", member.said.zone },
+                { "state", toText(member.said.state) }, { "incarnation", member.said.incarnation.value } });
+        });
+        return members;
+    }
 
-json::array serversStatus(Parts& parts)
-{
-    json::array servers;
-    parts.board.servers().forEach([&](const ServiceName& service, const ServerGroup& group) {
-        for (const auto& [node, server] : group) {
-            servers.push_back(json::object { { "service", service }, { "node", server.endpoint },
-                { "zone", server.zone }, { "slots", server.announcement.slots },
-                { "draining", server.announcement.draining }, { "outstanding", server.outstanding },
-                { "limit", server.feedback.limit }, { "shedLevel", server.feedback.shedLevel } });
-        }
-    });
-    return servers;
-}
+    json::array serversStatus(Parts& parts)
+    {
+        json::array servers;
+        parts.board.servers().forEach([&](const ServiceName& service, const ServerGroup& group) {
+            for (const auto& [node, server] : group) {
+                servers.push_back(json::object { { "service", service }, { "node", server.endpoint },
+                    { "zone", server.zone }, { "slots", server.announcement.slots },
+                    { "draining", server.announcement.draining }, { "outstanding", server.outstanding },
+                    { "limit", server.feedback.limit }, { "shedLevel", server.feedback.shedLevel } });
+            }
+        });
+        return servers;
+    }
 
-json::array localServersStatus(Parts& parts)
-{
-    std::vector<std::pair<ServiceName, LocalServerRecord>> records;
-    parts.board.localServers().forEach([&](const ServiceName& service, const LocalServerRecord& record) {
-        records.emplace_back(service, record);
-    });
-    json::array servers;
-    for (const auto& [service, record] : records) {
-        const auto load = parts.control.admission.feedback(service);
-        servers.push_back(json::object { { "service", service }, { "endpoint", record.endpoint },
-            { "slots", record.announcement.slots }, { "draining", record.announcement.draining },
-            { "running", load.running }, { "waiting", load.waiting }, { "limit", load.limit },
-            { "shedLevel", load.shedLevel } });
+    json::array localServersStatus(Parts& parts)
+    {
+        std::vector<std::pair<ServiceName, LocalServerRecord>> records;
+        parts.board.localServers().forEach([&](const ServiceName& service, const LocalServerRecord& record) {
+            records.emplace_back(service, record);
+        });
+        json::array servers;
+        for (const auto& [service, record] : records) {
+            const auto load = parts.control.admission.feedback(service);
+            servers.push_back(json::object { { "service", service }, { "endpoint", record.endpoint },
+                { "slots", record.announcement.slots }, { "draining", record.announcement.draining },
+                { "running", load.running }, { "waiting", load.waiting }, { "limit", load.limit },
+                { "shedLevel", load.shedLevel } });
+        }
+        return servers;
     }
-    return servers;
-}
 
-json::object quotaStatus(Parts& parts)
-{
-    const auto status = parts.control.quota.status();
-    json::array slots;
-    for (const auto slot : status.heldSlots)
-        slots.push_back(slot);
-    json::array accounts;
-    for (const auto& account : status.accounts) {
-        accounts.push_back(json::object { { "account", account.account }, { "tokens", account.tokens },
-            { "demandPerSecond", account.demand }, { "waiting", account.waiting } });
+    json::object quotaStatus(Parts& parts)
+    {
+        const auto status = parts.control.quota.status();
+        json::array slots;
+        for (const auto slot : status.heldSlots)
+            slots.push_back(slot);
+        json::array accounts;
+        for (const auto& account : status.accounts) {
+            accounts.push_back(json::object { { "account", account.account }, { "tokens", account.tokens },
+                { "demandPerSecond", account.demand }, { "waiting", account.waiting } });
+        }
+        return { { "strategy", status.strategy }, { "heldSlots", std::move(slots) },
+            { "accounts", std::move(accounts) } };
     }
-    return { { "strategy", status.strategy }, { "heldSlots", std::move(slots) }, { "accounts", std::move(accounts) } };
-}
 
 } // namespace
 
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -56,6 +56,11 @@
 /// Version to expect of an object that does not exist yet.
 constexpr uint64_t absentVersion = 0;
 
+/// Name of the object that holds the manifest, as operators wrote it.
+constexpr std::string_view manifestObject = "manifest";
+/// Name of the object that tells what became of it.
+constexpr std::string_view manifestStatusObject = "status/manifest";
+
 /// The platform's object API.
 class Platform {
 public:
--- a/src/settings/Fields.cpp
+++ b/src/settings/Fields.cpp
@@ -68,23 +68,21 @@
     const std::array<Field<QuotaSettings>, 4> quotaTable { {
         { "slots", &QuotaSettings::slots, { 1, 4096 }, "slots = 64" },
         { "lease-term", &QuotaSettings::leaseTerm, { 1, secondsPerDay }, "lease-term = \"10m\"" },
-        { "lease-margin", &QuotaSettings::leaseMargin, { 0.01, secondsPerDay }, "lease-margin = \"5s\"" },
-        { "validity", &QuotaSettings::validity, { 0.01, 60 }, "validity = \"1s\"" },
+        { "lease-margin", &QuotaSettings::safetyMargin, { 0.01, secondsPerDay }, "lease-margin = \"5s\"" },
+        { "validity", &QuotaSettings::tokenValidity, { 0.01, 60 }, "validity = \"1s\"" },
     } };
 
     const std::array<Field<MembershipSettings>, 6> membershipTable { {
         { "probe-period", &MembershipSettings::probePeriod, { 0.01, 60 }, "probe-period = \"1s\"" },
-        { "probe-timeout", &MembershipSettings::probeTimeout, { 0.001, 60 }, "probe-timeout = \"300ms\"" },
-        { "indirect-probes", &MembershipSettings::indirectProbes, { 0, 32 }, "indirect-probes = 3" },
-        { "suspicion", &MembershipSettings::suspicion, { 0.01, 600 }, "suspicion = \"4s\"" },
+        { "probe-timeout", &MembershipSettings::directTimeout, { 0.001, 60 }, "probe-timeout = \"300ms\"" },
+        { "indirect-probes", &MembershipSettings::helpers, { 0, 32 }, "indirect-probes = 3" },
+        { "suspicion-factor", &MembershipSettings::suspicionFactor, { 0.5, 100 }, "suspicion-factor = 2" },
         { "digest-period", &MembershipSettings::digestPeriod, { 0.01, 3600 }, "digest-period = \"10s\"" },
-        { "dead-memory", &MembershipSettings::deadMemory, { 1, secondsPerDay }, "dead-memory = \"10m\"" },
+        { "dead-memory", &MembershipSettings::tombstoneTerm, { 1, secondsPerDay }, "dead-memory = \"10m\"" },
     } };
 
 } // namespace
 
-std::string_view toText(LogLevel level) { return levelNames[static_cast<size_t>(level)]; }
-
 std::span<const Field<AddressSettings>> addressFields() { return addressTable; }
 
 std::span<const Field<Settings>> nodeFields() { return nodeTable; }
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -134,21 +134,17 @@
     // Timings that only work together.
     void checkTimings(const ReadTable<QuotaSettings>& quota, const ReadTable<MembershipSettings>& membership)
     {
-        if (quota.row.leaseMargin * 2 > quota.row.leaseTerm)
+        if (quota.row.safetyMargin * 2 > quota.row.leaseTerm)
             quota.report(quota.has("lease-margin") ? "lease-margin" : "lease-term",
                 "the margin takes up more than half of the lease's term",
                 "lease-margin = " + tomlValue(quota.row.leaseTerm / 4));
-        if (quota.row.validity > quota.row.leaseTerm)
+        if (quota.row.tokenValidity > quota.row.leaseTerm)
             quota.report("validity", "tokens would outlive the lease that made them",
                 "validity = " + tomlValue(quota.row.leaseTerm / 4));
-        if (membership.row.probeTimeout >= membership.row.probePeriod)
+        if (membership.row.directTimeout >= membership.row.probePeriod)
             membership.report(membership.has("probe-timeout") ? "probe-timeout" : "probe-period",
                 "a probe must time out within its period",
                 "probe-timeout = " + tomlValue(membership.row.probePeriod / 3));
-        if (membership.row.suspicion < membership.row.probePeriod)
-            membership.report(membership.has("suspicion") ? "suspicion" : "probe-period",
-                "a suspected member needs at least one probe's period to prove itself",
-                "suspicion = " + tomlValue(membership.row.probePeriod * 4));
     }
 
 } // namespace
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -4,6 +4,9 @@
 #pragma once
 
 #include "documents/Documents.h"
+#include "log/Log.h"
+#include "membership/Membership.h"
+#include "quota/Quota.h"
 
 namespace Vanillaridge {
 
@@ -25,9 +28,6 @@
     std::string m_text;
 };
 
-enum class LogLevel : uint8_t { Error, Warning, Info, Debug };
-std::string_view toText(LogLevel);
-
 /// Where the node is reached, and by whom.
 struct AddressSettings {
     /// Other nodes, over TCP and UDP; other nodes are told this very address.
@@ -72,33 +72,6 @@
     Duration drainLimit { seconds(60) };
 };
 
-/// How tokens are created and handed on.
-struct QuotaSettings {
-    /// Quota slots of the whole fleet; every node must name the same number.
-    uint32_t slots { 64 };
-    /// Term of a slot's lease.
-    Duration leaseTerm { std::chrono::minutes(10) };
-    /// How long before its end a holder stops using a lease.
-    Duration leaseMargin { seconds(5) };
-    /// Life of a token after it was asked for.
-    Duration validity { seconds(1) };
-};
-
-/// Timings of the membership protocol.
-struct MembershipSettings {
-    Duration probePeriod { seconds(1) };
-    /// How long to wait for the answer to a probe, before asking others to probe.
-    Duration probeTimeout { milliseconds(300) };
-    /// Members asked to probe one that did not answer.
-    uint32_t indirectProbes { 3 };
-    /// How long a suspected member has to prove itself.
-    Duration suspicion { seconds(4) };
-    /// How often a digest of all members is exchanged.
-    Duration digestPeriod { seconds(10) };
-    /// How long a dead member is remembered.
-    Duration deadMemory { std::chrono::minutes(10) };
-};
-
 /// Everything that one node is told when it starts.
 struct Settings {
     AddressSettings addresses;
@@ -111,7 +84,9 @@
     LogLevel logLevel { LogLevel::Info };
     PlatformSettings platform;
     LimitSettings limits;
+    /// How tokens are created and handed on.
     QuotaSettings quota;
+    /// Timings of the membership protocol.
     MembershipSettings membership;
 };
 
