Name the guard's run in each open request, and tell repeats from barred attempts

A repeated open request was refused as barred, which says 'not started' of an attempt that waits or runs; found while writing the history checker's model. It is now a Duplicate, to be passed over in silence. An open request meant for an earlier run of the guard is refused, and answers are compared with the stream that they came on.

--- a/bench/WireBench.cpp
+++ b/bench/WireBench.cpp
@@ -15,7 +15,7 @@
 {
     OpenRequest open { { { { { 1 }, { 2 }, 3 }, 1 }, "inspectors-north", "reports", "ride-records", Importance::Normal,
                            true, seconds(5), 2, 1, 8 },
-        "GET", "/reports/4711", {}, false, seconds(9) };
+        { 22 }, "GET", "/reports/4711", {}, false, seconds(9) };
     for (int i = 0; i < 8; ++i)
         open.headers.push_back({ "x-header-name", "a value of thirty-two characters" });
     return open;
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -57,6 +57,8 @@
 /// Opens a stream: a request for the backend server beside the receiver.
 struct OpenRequest {
     RequestContext context;
+    /// The run of the guard that this is for.
+    BootId guard;
     std::string method;
     std::string target;
     std::vector<HeaderField> headers;
--- a/src/verdict/EntryLedger.cpp
+++ b/src/verdict/EntryLedger.cpp
@@ -60,11 +60,11 @@
     return attempt;
 }
 
-bool EntryLedger::takeAnswer(const AnswerHead& head)
+bool EntryLedger::takeAnswer(const AttemptId& expected, const AnswerHead& head)
 {
     bool taken = false;
-    m_board.entries().visit(head.attempt.request, [&](EntryRecord& record) {
-        taken = isPresent(record, head.attempt) && record.guard == head.guard && isOpen(record);
+    m_board.entries().visit(expected.request, [&](EntryRecord& record) {
+        taken = head.attempt == expected && isPresent(record, expected) && record.guard == head.guard && isOpen(record);
         if (taken)
             record.state = EntryState::Answering;
     });
@@ -79,13 +79,16 @@
     });
 }
 
-std::optional<Decision> EntryLedger::refused(const Refusal& refusal, bool retryAllowed)
+std::optional<Decision> EntryLedger::refused(const AttemptId& expected, const Refusal& refusal, bool retryAllowed)
 {
     std::optional<Decision> decision;
-    m_board.entries().visit(refusal.attempt.request, [&](EntryRecord& record) {
-        if (!isPresent(record, refusal.attempt) || record.guard != refusal.guard || !isOpen(record))
+    m_board.entries().visit(expected.request, [&](EntryRecord& record) {
+        if (refusal.attempt != expected || !isPresent(record, expected) || record.guard != refusal.guard)
             return;
-        const auto end = refusal.started ? AttemptEnd::RefusedStarted : AttemptEnd::RefusedNotStarted;
+        if (!isOpen(record))
+            return;
+        const bool mayHaveRun = refusal.started || row(refusal.reason).outcome != Outcome::NotRun;
+        const auto end = mayHaveRun ? AttemptEnd::RefusedStarted : AttemptEnd::RefusedNotStarted;
         decision = conclude(record, end, refusal.reason, retryAllowed);
     });
     return decision;
--- a/src/verdict/GuardLedger.cpp
+++ b/src/verdict/GuardLedger.cpp
@@ -38,10 +38,12 @@
 
 Reason GuardLedger::accept(const OpenRequest& message, const Hello& sender, const PeerClock& senderClock)
 {
-    // 1. Refuse what is not the sender's, or has no room.
+    // 1. Refuse what is not the sender's, was meant for an earlier run of this node, or has no room.
     const auto& context = message.context;
     if (!isOwn(context.attempt, sender))
         return Reason::BadRequest;
+    if (message.guard != m_board.self().boot)
+        return Reason::MessageTooOld;
     if (!reserve())
         return Reason::MemoryFull;
 
@@ -50,6 +52,9 @@
     Instant now;
     Instant deadline;
     const Reason refusal = m_board.verdicts().with(context.attempt, [&](auto& map) {
+        const auto known = map.find(context.attempt);
+        if (known != map.end())
+            return known->second.state == AttemptState::Barred ? Reason::Barred : Reason::Duplicate;
         now = m_clock.now();
         const Duration age = senderClock.ageBound(message.sentAt, now);
         if (age >= m_limits.maximumOpenAge)
@@ -57,8 +62,8 @@
         if (context.remaining <= age)
             return Reason::DeadlineExceeded;
         deadline = now + context.remaining - age;
-        const VerdictRecord record { AttemptState::Waiting, deadline, {}, false };
-        return map.try_emplace(context.attempt, record).second ? Reason::None : Reason::Barred;
+        map.emplace(context.attempt, VerdictRecord { AttemptState::Waiting, deadline, {}, false });
+        return Reason::None;
     });
     if (refusal != Reason::None) {
         release(1);
--- a/src/verdict/Verdict.h
+++ b/src/verdict/Verdict.h
@@ -50,7 +50,8 @@
 public:
     GuardLedger(Board&, const Clock&, GuardLimits = {});
 
-    /// Takes in a request, before anything else is decided about it. None if it was taken; otherwise why it must be
+    /// Takes in a request, before anything else is decided about it. None if it was taken. Duplicate if it waits or has
+    /// started already: nothing is to be sent, since its first message will be answered. Otherwise why it must be
     /// refused, as not started. Each attempt is taken at most once. Whoever decides to refuse it later must bar() it
     /// before telling so.
     /// \param sender the other end of the connection; only an attempt of its own requests is taken
@@ -146,12 +147,14 @@
 
     /// Whether this answer may be handed to the caller: it belongs to the request's present attempt, and is the first.
     /// May come while a verdict is asked for, which is then moot.
-    bool takeAnswer(const AnswerHead&);
+    /// \param expected the attempt whose stream it came on
+    bool takeAnswer(const AttemptId& expected, const AnswerHead&);
     /// The answer has been passed on whole: nothing that happens to its attempt matters any more.
     void finishAnswer(const AttemptId&);
 
     /// The present attempt was refused. Nothing if this answers another one, or something else was decided before.
-    std::optional<Decision> refused(const Refusal&, bool retryAllowed);
+    /// \param expected the attempt whose stream it came on
+    std::optional<Decision> refused(const AttemptId& expected, const Refusal&, bool retryAllowed);
     /// The present attempt ended, other than by a refusal. Nothing if it is no longer the present one, or something
     /// else was decided before: then there is nothing to do. Once its answer has begun, any end cuts it short.
     /// \param retryAllowed whether time and retry budget allow for another try
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -53,8 +53,8 @@
 
 template <typename Archive> void serialize(Archive& archive, OpenRequest& message)
 {
-    auto& [context, method, target, headers, hasBody, sentAt] = message;
-    archive(context, method, target, headers, hasBody, sentAt);
+    auto& [context, guard, method, target, headers, hasBody, sentAt] = message;
+    archive(context, guard, method, target, headers, hasBody, sentAt);
 }
 
 template <typename Archive> void serialize(Archive& archive, AnswerHead& message)
--- a/tests/WireTests.cpp
+++ b/tests/WireTests.cpp
@@ -94,7 +94,7 @@
 {
     const OpenRequest open { { { { { 1 }, { 2 }, 3 }, 4 }, "account", "route", "service", Importance::Low, true,
                                  seconds(5), 6, 7, 8 },
-        "POST", "/bookings", { { "name", "value" } }, true, seconds(9) };
+        { 11 }, "POST", "/bookings", { { "name", "value" } }, true, seconds(9) };
     const auto bytes = encodeFrame(10, open);
     const auto frame = decodeFrame(bytesOf(bytes));
     BOOST_REQUIRE(frame);
@@ -109,6 +109,7 @@
     BOOST_TEST(read.context.retriesLeft == 6u);
     BOOST_TEST(read.context.depth == 7u);
     BOOST_TEST(read.context.treeHash == 8u);
+    BOOST_TEST((read.guard == BootId { 11 }));
     BOOST_TEST(read.method == "POST");
     BOOST_TEST(read.target == "/bookings");
     BOOST_TEST((read.headers == open.headers));
