--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -66,6 +66,8 @@
 /// Opens a stream: a request for the backend server beside the receiver.
 struct OpenRequest {
     RequestContext context;
+    /// The run of the guard that this is for.
+    BootId guard;
     std::string method;
     std::string target;
     std::vector<HeaderField> headers;
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -56,8 +56,8 @@
 
 template <typename Archive> void serialize(Archive& archive, OpenRequest& message)
 {
-    auto& [context, method, target, headers, hasBody, sentAt, contentLength] = message;
-    archive(context, method, target, headers, hasBody, sentAt, contentLength);
+    auto& [context, guard, method, target, headers, hasBody, sentAt, contentLength] = message;
+    archive(context, guard, method, target, headers, hasBody, sentAt, contentLength);
 }
 
 template <typename Archive> void serialize(Archive& archive, AnswerHead& message)
