--- a/tests/QuotaWorld.h
+++ b/tests/QuotaWorld.h
@@ -119,6 +119,8 @@
         bool paused = false;
         // Nodes of different sides don't hear each other.
         int side = 0;
+        // Control messages sent and received.
+        size_t messages = 0;
         std::deque<std::pair<Endpoint, ControlMessage>> inbox;
         std::deque<std::pair<AccountName, size_t>> requests;
     };
@@ -135,6 +137,7 @@
 
     QuotaWorld(size_t count, const QuotaSettings& settings, Declarations declarations, uint64_t seed)
         : settings(settings)
+        , clockDrift(settings.clockDrift)
         , random(makeSeededRandom(seed))
         , m_declarations(std::move(declarations))
     {
@@ -145,6 +148,8 @@
     }
 
     const QuotaSettings settings;
+    // Largest error of the nodes' clocks.
+    const double clockDrift;
     std::unique_ptr<RandomSource> random;
     ManualClock clock;
     FakePlatform platform;
@@ -167,9 +172,8 @@
     {
         clock.advance(milliseconds(1));
         platform.deliver();
-        for (auto& node : nodes)
-            if (active(*node))
-                node->platform.deliver();
+        for (size_t i = 0; i < nodes.size(); ++i)
+            catchUp(i);
         deliverMessages();
         const auto now = std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch()).count();
         for (size_t i = 0; i < nodes.size(); ++i) {
@@ -212,29 +216,45 @@
 
     void pause(size_t at) { nodes[at]->paused = nodes[at]->platform.paused = true; }
 
-    void resume(size_t at)
+    // The next step hands it what came in meanwhile.
+    void resume(size_t at) { nodes[at]->paused = nodes[at]->platform.paused = false; }
+
+    // Pauses the node in the middle of its work: right after it has read its clock so many times from now on.
+    void freezeWithin(size_t at, int reads, std::function<void()> meanwhile)
     {
         auto& node = *nodes[at];
-        node.paused = node.platform.paused = false;
-        if (!node.running)
-            return;
-        takeUp(at);
-        for (auto inbox = std::exchange(node.inbox, {}); const auto& [from, message] : inbox)
-            hand(at, from, message);
+        node.clock.freezeAfterReads = reads;
+        node.clock.freeze = [this, at, meanwhile = std::move(meanwhile)] {
+            pause(at);
+            meanwhile();
+            resume(at);
+        };
     }
 
-    void configure(Declarations declarations)
+    // Plans a clean stop; the run goes on until it is crashed.
+    void release(size_t at)
     {
-        m_declarations = std::move(declarations);
-        ++m_number;
-        for (auto& node : nodes)
-            adopt(*node);
+        nodes[at]->board.startDraining();
+        nodes[at]->quota->release();
+        collect(at);
     }
 
+    // Puts a configuration in force at one node.
     void configure(size_t at, Declarations declarations)
     {
-        nodes[at]->board.configuration().adopt(
-            std::make_shared<const Configuration>(++m_number, std::move(declarations)));
+        for (const auto& account : declarations.accounts)
+            m_rates[account.name] = account.rate;
+        nodes[at]->board.configuration().adopt(std::make_shared<const Configuration>(++m_number, declarations));
+    }
+
+    // What nodes start with.
+    const Declarations& declarations() const { return m_declarations; }
+
+    // The rate that configure() gave the account, if it did.
+    std::optional<double> configuredRate(const AccountName& account) const
+    {
+        const auto found = m_rates.find(account);
+        return found == m_rates.end() ? std::nullopt : std::optional(found->second);
     }
 
     Endpoint endpoint(size_t at) const { return "10.0." + std::to_string(at / 250) + "." + std::to_string(at % 250); }
@@ -255,6 +275,7 @@
         auto& node = *nodes[at];
         for (auto& [to, message] : node.board.outbox().drain()) {
             ++messages;
+            ++node.messages;
             const auto found = m_indexOf.find(to);
             if (found == m_indexOf.end())
                 continue;
@@ -282,7 +303,7 @@
 
     std::unique_ptr<Node> makeNode(size_t at)
     {
-        const double speed = 1 + settings.clockDrift * (2 * random->unit() - 1);
+        const double speed = 1 + clockDrift * (2 * random->unit() - 1);
         m_indexOf[endpoint(at)] = at;
         auto node = std::make_unique<Node>(
             clock, platform, Identity { endpoint(at), "zone", { random->next() }, { m_number } }, speed, settings);
@@ -295,11 +316,27 @@
         node.board.configuration().adopt(std::make_shared<const Configuration>(m_number, m_declarations));
     }
 
+    // Gives a running node the answers, messages and requests that it has not seen yet.
+    void catchUp(size_t at)
+    {
+        auto& node = *nodes[at];
+        if (!active(node))
+            return;
+        node.platform.deliver();
+        while (active(node) && !node.inbox.empty()) {
+            const auto [from, message] = std::move(node.inbox.front());
+            node.inbox.pop_front();
+            hand(at, from, message);
+        }
+        takeUp(at);
+    }
+
     void takeUp(size_t at)
     {
         auto& node = *nodes[at];
         while (active(node) && !node.requests.empty()) {
-            const auto [account, arrival] = node.requests.front();
+            const AccountName account = node.requests.front().first;
+            const size_t arrival = node.requests.front().second;
             node.requests.pop_front();
             auto* clockOfNode = &node.clock;
             auto* history = &histories[account];
@@ -338,6 +375,7 @@
 
     void hand(size_t at, const Endpoint& from, const ControlMessage& message)
     {
+        ++nodes[at]->messages;
         auto& quota = *nodes[at]->quota;
         if (const auto* pull = std::get_if<QuotaPull>(&message))
             quota.receive(from, *pull);
@@ -351,27 +389,30 @@
     {
         for (size_t j = 0; j < nodes.size(); ++j) {
             const auto held = active(*nodes[j]) ? nodes[j]->quota->heldSlots() : std::vector<uint32_t>();
+            MemberUpdate said;
+            said.endpoint = endpoint(j);
+            said.quotaSlots = held;
+            const auto id = NodeId::of(said.endpoint);
             for (size_t i = 0; i < nodes.size(); ++i) {
                 const bool heard = active(*nodes[j]) && nodes[i]->side == nodes[j]->side;
+                said.state = heard ? MemberState::Alive : MemberState::Dead;
                 if (i != j && nodes[i]->running)
-                    tell(*nodes[i], j, heard, held);
+                    tell(*nodes[i], id, said);
             }
         }
     }
 
-    void tell(Node& listener, size_t about, bool heard, const std::vector<uint32_t>& held)
+    static void tell(Node& listener, NodeId about, const MemberUpdate& said)
     {
-        const auto state = heard ? MemberState::Alive : MemberState::Dead;
-        listener.board.members().update(NodeId::of(endpoint(about)), [&](MemberRecord& record) {
-            if (record.said.state == state && record.said.quotaSlots == held && !record.said.endpoint.empty())
-                return;
-            record.said.endpoint = endpoint(about);
-            record.said.state = state;
-            record.said.quotaSlots = held;
+        listener.board.members().update(about, [&](MemberRecord& record) {
+            const auto& known = record.said;
+            if (known.state != said.state || known.quotaSlots != said.quotaSlots || known.endpoint.empty())
+                record.said = said;
         });
     }
 
-    Declarations m_declarations;
+    const Declarations m_declarations;
+    std::map<AccountName, double> m_rates;
     uint64_t m_number = 1;
     uint64_t m_order = 0;
     std::map<Endpoint, size_t> m_indexOf;
