Spread configuration through a few watchers and peers, and refuse on stale ones

Watchers read a small head object instead of the manifest itself, so that a confirmation a second costs bytes and not the whole manifest; everybody else fetches changed sections from peers by content hash. Keyed requests are refused after a pause, while cut off and while a newer configuration is known and does not arrive.

--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -19,6 +19,10 @@
     Instant lastHeard;
 };
 
+/// Ranks a member for a duty by rendezvous hashing: the live members with the highest scores have it, and a member that
+/// comes or goes moves no duty but its own.
+inline uint64_t dutyScore(NodeId member, uint64_t duty) { return mixHash(member.value, duty); }
+
 // --- Backend servers ----------------------------------------------------------------------------------------------
 
 /// One backend server: the service it belongs to, and the node beside it.
@@ -81,9 +85,10 @@
 
 /// What is known of how fresh the configuration in force is.
 struct FreshnessRecord {
-    /// Highest number heard of, and its content.
+    /// Highest number heard of.
     uint64_t newestNumber { 0 };
-    uint64_t newestContentHash { 0 };
+    /// Content hash of the configuration in force.
+    uint64_t contentHash { 0 };
     /// When somebody read that number from the platform, as far as this node knows.
     Instant confirmedAt;
     bool platformReachable { false };
--- a/src/dissemination/Dissemination.cpp
+++ b/src/dissemination/Dissemination.cpp
@@ -1,1 +1,150 @@
-#include "dissemination/Dissemination.h"
+#include "dissemination/DisseminationState.h"
+
+#include <charconv>
+
+namespace Vanillaridge {
+
+std::string manifestHeadText(uint64_t version) { return std::to_string(version); }
+
+std::optional<uint64_t> manifestHeadFromText(std::string_view text)
+{
+    uint64_t version = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (error != std::errc() || end != text.data() + text.size() || version == 0)
+        return std::nullopt;
+    return version;
+}
+
+Dissemination::State::State(Board& board, const Clock& clock, RandomSource& random, Platform& platform,
+    const ManifestCodec& codec, DisseminationSettings settings)
+    : board(board)
+    , clock(clock)
+    , random(random)
+    , platform(platform)
+    , codec(codec)
+    , settings(settings)
+    , selfId(board.self().id())
+    , store(settings.listsKept)
+{
+    // Everything that starts at once must not read the platform at once.
+    const auto now = clock.now();
+    nextReview = now + random.jittered(settings.confirmPeriod, 0.5);
+    nextManifestRead = now;
+}
+
+void Dissemination::State::carryOut(Effects& effects)
+{
+    for (auto& message : effects.messages)
+        board.outbox().post(std::move(message.to), std::move(message.message));
+    for (const auto& call : effects.platformCalls) {
+        board.counters().add(Counter::PlatformCalls);
+        call();
+    }
+    if (effects.adopted && listener)
+        listener(effects.adopted);
+}
+
+void Dissemination::State::tick(Instant now, Effects& effects)
+{
+    // 1. See who watches, once in a while.
+    if (now >= nextReview) {
+        nextReview = now + settings.confirmPeriod;
+        reviewDuty(now);
+    }
+    // 2. Watchers look at the platform.
+    if (isWatcher) {
+        watchHead(now, effects);
+        if (now >= nextHeadRead)
+            readHead(now, effects);
+        readManifest(now, effects);
+    }
+    writeStatus(now, effects);
+    // 3. Whoever is behind fetches.
+    noteBehind(now);
+    fetch(now, effects);
+}
+
+// A number that was found bad here is not waited for.
+void Dissemination::State::noteBehind(Instant now)
+{
+    board.configuration().updateFreshness([&](FreshnessRecord& record) {
+        const auto behind = record.newestNumber > std::max(heldNumber(), rejected);
+        if (!behind)
+            record.behindSince = Instant();
+        else if (record.behindSince == Instant())
+            record.behindSince = now;
+    });
+}
+
+// Puts a checked manifest in force, unless it is bad or not newer.
+std::vector<std::string> Dissemination::State::take(uint64_t number, CheckedManifest checked, Effects& effects)
+{
+    if (!checked.declarations) {
+        board.counters().add(Counter::ConfigurationsRejected);
+        rejected = std::max(rejected, number);
+        errors = checked.errors.empty() ? std::vector<std::string> { "the manifest cannot be read" } : checked.errors;
+        return errors;
+    }
+    auto next = std::make_shared<const Configuration>(number, std::move(*checked.declarations));
+    if (!board.configuration().adopt(next))
+        return {};
+    store.hold(number, std::move(checked.sections));
+    board.configuration().updateFreshness([&](FreshnessRecord& record) {
+        record.newestNumber = std::max(record.newestNumber, number);
+        record.contentHash = store.contentHash();
+    });
+    board.counters().add(Counter::ConfigurationsAdopted);
+    effects.adopted = std::move(next);
+    return {};
+}
+
+Dissemination::Dissemination(Board& board, const Clock& clock, RandomSource& random, Platform& platform,
+    const ManifestCodec& codec, DisseminationSettings settings)
+    : m_state(std::make_shared<State>(board, clock, random, platform, codec, settings))
+{
+}
+
+Dissemination::~Dissemination() = default;
+
+void Dissemination::onAdopted(Listener listener) { m_state->listener = std::move(listener); }
+
+void Dissemination::tick()
+{
+    m_state->run([&](auto& effects) { m_state->tick(m_state->clock.now(), effects); });
+}
+
+std::vector<std::string> Dissemination::adopt(uint64_t number, std::string_view text)
+{
+    auto checked = m_state->codec.check(text);
+    std::vector<std::string> errors;
+    m_state->run([&](auto& effects) { errors = m_state->take(number, std::move(checked), effects); });
+    return errors;
+}
+
+void Dissemination::receive(const Endpoint& from, const SectionListRequest& request)
+{
+    m_state->run([&](auto& effects) { m_state->handle(from, request, effects); });
+}
+
+void Dissemination::receive(const Endpoint& from, const SectionList& list)
+{
+    m_state->run([&](auto& effects) { m_state->handle(from, list, m_state->clock.now(), effects); });
+}
+
+void Dissemination::receive(const Endpoint& from, const SectionRequest& request)
+{
+    m_state->run([&](auto& effects) { m_state->handle(from, request, effects); });
+}
+
+void Dissemination::receive(const Endpoint& from, const SectionReply& reply)
+{
+    m_state->run([&](auto& effects) { m_state->handle(from, reply, m_state->clock.now(), effects); });
+}
+
+bool Dissemination::watching() const
+{
+    std::lock_guard guard(m_state->lock);
+    return m_state->isWatcher;
+}
+
+} // namespace Vanillaridge
--- a/src/dissemination/Dissemination.h
+++ b/src/dissemination/Dissemination.h
@@ -1,7 +1,8 @@
 /// How an accepted configuration reaches every node.
 ///
-/// A few nodes in each zone watch the platform, check what operators wrote and spread its number on membership
-/// messages; the others fetch the sections that changed from peers. The number is the platform's version of the
+/// Operators write the manifest object, and then its version into the small head object. A few nodes in each zone watch
+/// the head; some of them read the manifest, check it and spread its number on membership messages; everybody else
+/// fetches the sections that changed from peers. The number of a configuration is the platform's version of the
 /// manifest object. Facts are written to board.configuration(); messages go to board.outbox().
 #pragma once
 
@@ -35,19 +36,32 @@
     virtual CheckedManifest assemble(std::span<const ConfigurationSection>) const = 0;
 };
 
-/// Names of the platform's objects that are used here.
+/// Names of the platform's objects that are used here. The head holds the version of the manifest as decimal digits;
+/// whoever writes the manifest writes the head after it, and is done only then.
 constexpr std::string_view manifestObject = "manifest";
+constexpr std::string_view manifestHeadObject = "manifest-head";
 constexpr std::string_view manifestStatusObject = "status/manifest";
 
+/// The head's value for a version of the manifest.
+std::string manifestHeadText(uint64_t version);
+/// Reads what manifestHeadText wrote; nothing when the text is malformed.
+std::optional<uint64_t> manifestHeadFromText(std::string_view);
+
 struct DisseminationSettings {
     /// Members of each zone that watch the platform.
     uint32_t watchersPerZone { 2 };
-    /// Time between two reads that confirm the number.
+    /// Time between two reads of the head that confirm the number.
     Duration confirmPeriod { seconds(1) };
     /// Patience of a watch.
     Duration watchPatience { seconds(20) };
     /// Longest wait for an answer of the platform or of a peer.
     Duration answerTimeout { seconds(1) };
+    /// Watchers read a new manifest one after the other, as far as it has not come from peers meanwhile: how many do so
+    /// at once, and the time between them.
+    uint32_t readersAtOnce { 2 };
+    Duration readerStep { milliseconds(200) };
+    /// Time in which one of the watchers reads the manifest although its head has not changed.
+    Duration manifestPeriod { seconds(5) };
     /// Peers tried before the platform is asked, and the wait before it is asked again.
     uint32_t peersTried { 3 };
     Duration platformRetry { seconds(5) };
@@ -55,7 +69,7 @@
     size_t replyLimit { 256 * 1024 };
     size_t sectionsPerRequest { 512 };
     /// Earlier lists of sections kept, to answer with differences.
-    size_t listsKept { 16 };
+    size_t listsKept { 8 };
 };
 
 /// May be called from several threads. References must outlive it; answers of the platform that come later are ignored.
--- /dev/null
+++ b/src/dissemination/DisseminationState.h
@@ -0,0 +1,128 @@
+// What dissemination keeps beside the board, and its steps. All under one lock, which is free while calling out.
+#pragma once
+
+#include "dissemination/SectionStore.h"
+
+#include <mutex>
+
+namespace Vanillaridge {
+
+// What a step leads to, carried out after the lock is released.
+struct DisseminationEffects {
+    std::vector<OutgoingMessage> messages;
+    std::vector<std::function<void()>> platformCalls;
+    ConfigurationPointer adopted;
+};
+
+// A configuration on its way here from peers.
+struct Fetch {
+    uint64_t number { 0 };
+    Endpoint peer;
+    Instant deadline;
+    uint32_t peersTried { 0 };
+    // Whether differences were of no use, so that whole lists are asked for.
+    bool wantsWholeList { false };
+    uint64_t contentHash { 0 };
+    // Known once the list has come.
+    SectionHashes hashes;
+    std::unordered_map<uint64_t, std::string> arrived;
+};
+
+// A call to the platform that may stay without an answer.
+struct PendingCall {
+    // 0 while there is none.
+    uint64_t ticket { 0 };
+    Instant deadline;
+    bool waits(Instant now) const { return ticket != 0 && now < deadline; }
+};
+
+struct Dissemination::State : std::enable_shared_from_this<Dissemination::State> {
+    using Effects = DisseminationEffects;
+
+    State(Board&, const Clock&, RandomSource&, Platform&, const ManifestCodec&, DisseminationSettings);
+
+    // Runs `step(Effects&)` under the lock and carries out its effects after it.
+    template <typename Step> void run(Step&& step)
+    {
+        Effects effects;
+        {
+            std::lock_guard guard(lock);
+            step(effects);
+        }
+        carryOut(effects);
+    }
+    void carryOut(Effects&);
+
+    void tick(Instant now, Effects&);
+    void noteBehind(Instant now);
+    std::vector<std::string> take(uint64_t number, CheckedManifest, Effects&);
+    uint64_t heldNumber() const { return store.number(); }
+
+    // The platform's side, in Watching.cpp.
+    void reviewDuty(Instant now);
+    void watchHead(Instant now, Effects&);
+    void readHead(Instant now, Effects&);
+    void headArrived(const PlatformResult<StoredObject>&, Instant askedAt);
+    void considerHead(uint64_t head, Instant askedAt);
+    void readManifest(Instant now, Effects&);
+    void manifestArrived(const PlatformResult<StoredObject>&, Instant askedAt);
+    void judge(const StoredObject&, Effects&);
+    void writeHead(uint64_t version, Effects&);
+    void writeStatus(Instant now, Effects&);
+    void statusArrived(const PlatformResult<StoredObject>&, const std::string& text, uint64_t number);
+    uint32_t rankAsReader(uint64_t version) const;
+    PendingCall newCall(Instant now, Duration patience);
+
+    // The peers' side, in Fetching.cpp.
+    void fetch(Instant now, Effects&);
+    void askNextPeer(Instant now, Effects&);
+    void giveUpPeer(Instant now, Effects&);
+    std::optional<Endpoint> drawPeer();
+    void requestSections(Instant now, Effects&);
+    void finishFetch(Effects&);
+    void handle(const Endpoint& from, const SectionListRequest&, Effects&);
+    void handle(const Endpoint& from, const SectionList&, Instant now, Effects&);
+    void handle(const Endpoint& from, const SectionRequest&, Effects&);
+    void handle(const Endpoint& from, const SectionReply&, Instant now, Effects&);
+
+    Board& board;
+    const Clock& clock;
+    RandomSource& random;
+    Platform& platform;
+    const ManifestCodec& codec;
+    const DisseminationSettings settings;
+    const NodeId selfId;
+
+    mutable std::mutex lock;
+    Listener listener;
+    SectionStore store;
+    // Highest number that was found bad here, and why.
+    uint64_t rejected { 0 };
+    std::vector<std::string> errors;
+
+    bool isWatcher { false };
+    std::vector<NodeId> watchers;
+    Instant nextReview;
+    uint64_t lastTicket { 0 };
+    PendingCall headWatch;
+    PendingCall headRead;
+    PendingCall manifestRead;
+    Instant nextHeadRead;
+    // Earliest time for a read in turn, and time for one out of turn.
+    Instant nextTurnRead;
+    Instant nextManifestRead;
+    // Version of the manifest that the head tells of, since when, and the head's own version.
+    uint64_t headVersion { 0 };
+    uint64_t headObjectVersion { absentVersion };
+    Instant headSeenAt;
+
+    std::optional<Fetch> fetching;
+    Instant nextPlatformFetch;
+
+    // What the status object has yet to tell.
+    uint64_t statusDue { 0 };
+    std::string statusText;
+    PendingCall statusCall;
+};
+
+} // namespace Vanillaridge
--- a/src/membership/Exchange.cpp
+++ b/src/membership/Exchange.cpp
@@ -11,6 +11,8 @@
     constexpr size_t datagramsPerExchange = 4;
     // Age of a confirmation up to which the platform counts as reachable.
     constexpr Duration reachableAge = seconds(5);
+    // Age from which a confirmation says nothing any more.
+    constexpr Duration unconfirmedAge = std::chrono::hours(24);
     // Share of the known members held for dead from which hearing one of them again means that a cut has healed.
     constexpr double healedShare = 0.05;
     constexpr size_t healedMinimum = 4;
@@ -81,11 +83,14 @@
     effects.messages.push_back({ to, std::move(message) });
 }
 
+// Tells the number in force, not the highest heard of: whoever hears it comes to fetch it.
 ConfigurationNews Membership::State::news() const
 {
+    const auto inForce = board.configuration().inForce();
     const auto record = board.configuration().freshness();
+    const auto number = inForce ? inForce->number() : 0;
     const auto age = clock.now() - record.confirmedAt;
-    return { record.newestNumber, record.newestContentHash, age, age <= reachableAge };
+    return { number, record.contentHash, number < record.newestNumber ? Duration::max() : age, age <= reachableAge };
 }
 
 // A number is believed from whomever. A confirmation is believed only in answer to a probe, and dated back to when the
@@ -96,10 +101,9 @@
     board.configuration().updateFreshness([&](FreshnessRecord& record) {
         if (news.number > record.newestNumber) {
             record.newestNumber = news.number;
-            record.newestContentHash = news.contentHash;
             record.newestFrom = from;
         }
-        if (askedAt && news.number >= record.newestNumber)
+        if (askedAt && news.number >= record.newestNumber && news.confirmedAgo < unconfirmedAge)
             record.confirmedAt = std::max(record.confirmedAt, *askedAt - news.confirmedAgo);
         record.platformReachable = now - record.confirmedAt <= reachableAge;
     });
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -78,8 +78,4 @@
     std::unique_ptr<State> m_state;
 };
 
-/// Ranks a member for a duty by rendezvous hashing: the live members with the highest scores have it, and a member
-/// that comes or goes moves no duty but its own.
-inline uint64_t dutyScore(NodeId member, uint64_t duty) { return mixHash(member.value, duty); }
-
 } // namespace Vanillaridge
--- /dev/null
+++ b/tests/DisseminationTests.cpp
@@ -0,0 +1,344 @@
+// libraries: dissemination membership
+#include "FakeFleet.h"
+#include "FakePlatform.h"
+#include "dissemination/Dissemination.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace Vanillaridge;
+
+namespace {
+
+constexpr uint64_t seed = 20260401;
+constexpr Duration minute = std::chrono::minutes(1);
+
+// A manifest is a list of words; each is a section that declares an account. The word "bad" makes it a bad one.
+class WordCodec final : public ManifestCodec {
+public:
+    CheckedManifest check(std::string_view text) const override
+    {
+        std::vector<ConfigurationSection> sections;
+        while (!text.empty()) {
+            const std::string word(text.substr(0, text.find(' ')));
+            text.remove_prefix(std::min(text.size(), word.size() + 1));
+            sections.push_back({ "account/" + word, word });
+        }
+        return assemble(sections);
+    }
+
+    CheckedManifest assemble(std::span<const ConfigurationSection> sections) const override
+    {
+        Declarations declarations;
+        for (const auto& section : sections) {
+            if (section.text == "bad")
+                return { std::nullopt, {}, { "line 1: bad" } };
+            declarations.accounts.push_back({ section.text, 1, 1, {} });
+        }
+        return { declarations, { sections.begin(), sections.end() }, {} };
+    }
+};
+
+// A fleet whose members disseminate a configuration from one platform.
+struct Story {
+    explicit Story(uint64_t seed = ::seed)
+        : fleet(seed)
+        , random(makeSeededRandom(seed + 1))
+    {
+        fleet.onStart = [this](FakeMember& member) {
+            auto made = std::make_unique<Dissemination>(
+                member.board, fleet.clock, *random, platform, codec, DisseminationSettings());
+            disseminations[member.board.self().endpoint] = std::move(made);
+            highest[member.board.self().endpoint] = 0;
+        };
+        fleet.onTick = [this](FakeMember& member) {
+            of(member).tick();
+            const auto number = numberAt(member);
+            auto& before = highest[member.board.self().endpoint];
+            reverted = reverted || number < before;
+            before = std::max(before, number);
+        };
+        fleet.other = [this](const Endpoint& from, FakeMember& to, const ControlMessage& message) {
+            std::visit(
+                [&](const auto& content) {
+                    if constexpr (requires { of(to).receive(from, content); })
+                        of(to).receive(from, content);
+                },
+                message);
+        };
+    }
+
+    Dissemination& of(FakeMember& member) { return *disseminations.at(member.board.self().endpoint); }
+
+    static uint64_t numberAt(FakeMember& member)
+    {
+        const auto inForce = member.board.configuration().inForce();
+        return inForce ? inForce->number() : 0;
+    }
+
+    // What an operator's `apply` does; with `writesHead` false it dies between its two writes.
+    uint64_t apply(const std::string& text, bool writesHead = true)
+    {
+        put(manifestObject, text);
+        const auto version = platform.stored(manifestObject)->version;
+        if (writesHead)
+            put(manifestHeadObject, manifestHeadText(version));
+        return version;
+    }
+
+    void put(std::string_view name, const std::string& text)
+    {
+        const auto present = platform.stored(name);
+        platform.put(name, text, present ? present->version : absentVersion, [](const auto&) {});
+        platform.deliver();
+    }
+
+    void step()
+    {
+        fleet.step();
+        platform.deliver();
+    }
+
+    void run(Duration span)
+    {
+        for (const auto end = fleet.clock.now() + span; fleet.clock.now() < end;)
+            step();
+    }
+
+    template <typename Test> bool within(Duration limit, Test test)
+    {
+        for (const auto end = fleet.clock.now() + limit; fleet.clock.now() < end;) {
+            if (test())
+                return true;
+            step();
+        }
+        return test();
+    }
+
+    bool everywhere(uint64_t number)
+    {
+        bool all = true;
+        fleet.forEach([&](FakeMember& member) { all = all && (member.frozen || numberAt(member) == number); });
+        return all;
+    }
+
+    FakePlatform platform;
+    WordCodec codec;
+    FakeFleet fleet;
+    std::unique_ptr<RandomSource> random;
+    std::map<Endpoint, std::unique_ptr<Dissemination>> disseminations;
+    std::map<Endpoint, uint64_t> highest;
+    bool reverted = false;
+};
+
+// A story in which 24 members in four zones have agreed on a first configuration.
+struct StartedStory : Story {
+    StartedStory()
+    {
+        first = apply("north south east");
+        fleet.startAll(24);
+        BOOST_REQUIRE(within(minute, [&] { return everywhere(first) && fleet.agrees(); }));
+    }
+
+    uint64_t first = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GivenAFleetWithAConfiguration, StartedStory)
+
+BOOST_AUTO_TEST_SUITE(WhenAnOperatorAppliesAChange)
+
+BOOST_AUTO_TEST_CASE(ThenItIsInForceEverywhereWithinSeconds)
+{
+    const auto second = apply("north south west");
+    BOOST_TEST(within(seconds(5), [&] { return everywhere(second); }));
+    BOOST_TEST(!reverted);
+}
+
+BOOST_AUTO_TEST_CASE(ThenAFewMembersOfEachZoneWatchAndTheOthersFetchFromPeers)
+{
+    run(seconds(2));
+    size_t watchers = 0;
+    fleet.forEach([&](FakeMember& member) { watchers += of(member).watching() ? 1 : 0; });
+    BOOST_TEST(watchers == 8u);
+    const auto second = apply("north south west");
+    const auto calls = platform.calls;
+    within(seconds(5), [&] { return everywhere(second); });
+    // 8 watchers read and watch the head; only some of them read the manifest and report.
+    BOOST_TEST(platform.calls - calls < 60u);
+    fleet.forEach(
+        [&](FakeMember& member) { BOOST_TEST(member.board.counters().value(Counter::SectionsFetched) <= 4u); });
+}
+
+BOOST_AUTO_TEST_CASE(ThenAnOperatorWhoDiesBetweenManifestAndHeadDelaysItOnly)
+{
+    const auto second = apply("north west", false);
+    BOOST_TEST(within(seconds(30), [&] { return everywhere(second); }));
+    BOOST_TEST(platform.stored(manifestHeadObject)->value == manifestHeadText(second));
+}
+
+BOOST_AUTO_TEST_CASE(ThenABadOneChangesNothingAndIsReported)
+{
+    const auto bad = apply("north bad");
+    const auto reported = [&] {
+        const auto status = platform.stored(manifestStatusObject);
+        return status && status->value.find("number = " + std::to_string(bad) + "\nverdict = \"rejected\"") == 0;
+    };
+    BOOST_TEST(within(seconds(10), reported));
+    run(seconds(10));
+    BOOST_TEST(everywhere(first));
+    const auto third = apply("north south west");
+    BOOST_TEST(within(seconds(5), [&] { return everywhere(third); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenThePlatformMisbehaves)
+
+BOOST_AUTO_TEST_CASE(ThenSilentWatchesDelayAChangeBySecondsOnly)
+{
+    platform.watchesSilent = true;
+    const auto second = apply("north west");
+    BOOST_TEST(within(seconds(5), [&] { return everywhere(second); }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenStaleReadsNeverRevertAnything)
+{
+    const auto second = apply("north west");
+    within(seconds(5), [&] { return everywhere(second); });
+    platform.readsStale = true;
+    run(seconds(20));
+    fleet.start(30);
+    BOOST_TEST(within(seconds(20), [&] { return everywhere(second); }));
+    BOOST_TEST(!reverted);
+}
+
+BOOST_AUTO_TEST_CASE(ThenLostAnswersOfItsOwnWritesDoNoHarm)
+{
+    platform.losesAnswers = true;
+    const auto bad = apply("bad");
+    run(seconds(10));
+    const auto status = platform.stored(manifestStatusObject);
+    BOOST_TEST((status && status->value.find("number = " + std::to_string(bad)) == 0));
+    BOOST_TEST(everywhere(first));
+}
+
+BOOST_AUTO_TEST_CASE(ThenAnObjectWrittenAnewWithALowerVersionIsNotTaken)
+{
+    Board board({ "10.9.9.9:7000", "zone-0", { 77 }, { 1 } });
+    FakePlatform other;
+    Dissemination lone(board, fleet.clock, *random, other, codec, {});
+    BOOST_TEST(lone.adopt(50, "north").empty());
+    other.put(manifestObject, "south", absentVersion, [](const auto&) {});
+    other.put(manifestHeadObject, manifestHeadText(1), absentVersion, [](const auto&) {});
+    for (int i = 0; i < 100; ++i) {
+        fleet.clock.advance(milliseconds(100));
+        lone.tick();
+        other.deliver();
+    }
+    BOOST_TEST(board.configuration().inForce()->number() == 50u);
+    // Nor does the old number pass for a confirmation of the one in force.
+    BOOST_TEST((board.configuration().freshness().confirmedAt == Instant()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenThePlatformIsDown)
+
+BOOST_AUTO_TEST_CASE(ThenAFreshMemberGetsTheConfigurationFromPeers)
+{
+    platform.down = true;
+    fleet.start(30);
+    fleet.start(5, 4, 2);
+    BOOST_TEST(within(seconds(20), [&] { return everywhere(first); }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenAChangeThatFewHadSeenReachesTheOthersFromThem)
+{
+    const auto second = apply("north west");
+    within(seconds(5), [&] {
+        size_t seen = 0;
+        fleet.forEach([&](FakeMember& member) { seen += numberAt(member) == second ? 1 : 0; });
+        return seen > 0;
+    });
+    platform.down = true;
+    BOOST_TEST(within(seconds(5), [&] { return everywhere(second); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAMemberMissedManyChanges)
+
+BOOST_AUTO_TEST_CASE(ThenItTakesTheWholeListWhenNobodyKnowsItsOwn)
+{
+    fleet.freeze(4);
+    uint64_t latest = 0;
+    for (int i = 0; i < 12; ++i) {
+        latest = apply("north south word" + std::to_string(i));
+        run(seconds(2));
+    }
+    fleet.thaw(4);
+    BOOST_TEST(within(seconds(10), [&] { return everywhere(latest); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenAnySchedule)
+
+// Changes good and bad, outages, stale reads, lost answers, silent watches, kills, restarts and cuts.
+BOOST_AUTO_TEST_CASE(ThenNoMemberRevertsAndAllAgreeAfterwards)
+{
+    BOOST_TEST(rc::check("the configuration never reverts and ends up everywhere", [] {
+        constexpr size_t count = 10;
+        Story story(*rc::gen::arbitrary<uint64_t>());
+        story.apply("first");
+        story.fleet.startAll(count);
+        story.run(seconds(15));
+        uint64_t lastGood = story.platform.stored(manifestObject)->version;
+        const auto happenings = *rc::gen::inRange(3, 12);
+        for (int i = 0; i < happenings; ++i) {
+            const auto index = *rc::gen::inRange<size_t>(0, count);
+            switch (*rc::gen::inRange(0, 9)) {
+            case 0:
+            case 1:
+                lastGood = story.apply("word" + std::to_string(i), *rc::gen::arbitrary<bool>());
+                break;
+            case 2:
+                story.apply("bad");
+                break;
+            case 3:
+                story.platform.down = !story.platform.down;
+                break;
+            case 4:
+                story.platform.readsStale = !story.platform.readsStale;
+                break;
+            case 5:
+                story.platform.watchesSilent = !story.platform.watchesSilent;
+                break;
+            case 6:
+                story.fleet.start(index, 4, *rc::gen::inRange<uint64_t>(1, 4));
+                break;
+            case 7: {
+                const auto salt = *rc::gen::arbitrary<uint64_t>();
+                story.fleet.cut = [salt](const Endpoint& from, const Endpoint& to) {
+                    return (stableHash(from) ^ salt) % 2 != (stableHash(to) ^ salt) % 2;
+                };
+                break;
+            }
+            default:
+                story.platform.losesAnswers = !story.platform.losesAnswers;
+            }
+            story.run(seconds(*rc::gen::inRange(1, 10)));
+        }
+        story.platform.down = story.platform.readsStale = story.platform.losesAnswers = false;
+        story.fleet.cut = nullptr;
+        lastGood = std::max(lastGood, story.apply("last"));
+        RC_ASSERT(story.within(2 * minute, [&] { return story.everywhere(lastGood); }));
+        RC_ASSERT(!story.reverted);
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/FreshnessTests.cpp
@@ -0,0 +1,243 @@
+// libraries: freshness membership announcement
+#include "FakeFleet.h"
+#include "announcement/Announcement.h"
+#include "freshness/Freshness.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace Vanillaridge;
+
+namespace {
+
+constexpr uint64_t seed = 20260401;
+constexpr Duration minute = std::chrono::minutes(1);
+constexpr size_t fleetSize = 20;
+
+ConfigurationPointer numbered(uint64_t number)
+{
+    return std::make_shared<const Configuration>(number, Declarations {});
+}
+
+// A fleet with a configuration in force, whose first two members confirm it as long as the platform is up for them.
+struct Story {
+    Story()
+        : fleet(seed)
+    {
+        fleet.onStart = [this](FakeMember& member) {
+            freshness[member.board.self().endpoint]
+                = std::make_unique<Freshness>(member.board, fleet.clock, FreshnessSettings());
+            member.board.configuration().adopt(numbered(1));
+        };
+        fleet.onTick = [this](FakeMember& member) {
+            if (confirms(member))
+                member.board.configuration().updateFreshness([&](FreshnessRecord& record) {
+                    record.newestNumber = std::max<uint64_t>(record.newestNumber, 1);
+                    record.confirmedAt = fleet.clock.now();
+                });
+            of(member).tick();
+        };
+        fleet.startAll(fleetSize);
+        fleet.run(seconds(30));
+    }
+
+    bool confirms(const FakeMember& member) const
+    {
+        const auto& endpoint = member.board.self().endpoint;
+        return platformUp && (endpoint == FakeFleet::endpointOf(0) || endpoint == FakeFleet::endpointOf(1));
+    }
+
+    Freshness& of(FakeMember& member) { return *freshness.at(member.board.self().endpoint); }
+    bool serves(size_t index) { return of(fleet.at(index)).mayServeKeyed(); }
+
+    size_t serving()
+    {
+        size_t count = 0;
+        fleet.forEach([&](FakeMember& member) { count += of(member).mayServeKeyed() ? 1 : 0; });
+        return count;
+    }
+
+    // Cuts the first members from the others, in both directions.
+    void cutOff(size_t from, size_t to)
+    {
+        std::set<Endpoint> part;
+        for (size_t i = from; i < to; ++i)
+            part.insert(FakeFleet::endpointOf(i));
+        fleet.cut
+            = [part](const Endpoint& one, const Endpoint& other) { return part.contains(one) != part.contains(other); };
+    }
+
+    bool platformUp = true;
+    std::map<Endpoint, std::unique_ptr<Freshness>> freshness;
+    FakeFleet fleet;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GivenAFleetThatConfirmsItsConfiguration, Story)
+
+BOOST_AUTO_TEST_CASE(ThenAllMembersServe) { BOOST_TEST(serving() == fleetSize); }
+
+BOOST_AUTO_TEST_SUITE(WhenThePlatformIsDownForEverybody)
+
+BOOST_AUTO_TEST_CASE(ThenAllServeOn)
+{
+    platformUp = false;
+    for (int i = 0; i < 60; ++i) {
+        fleet.run(seconds(10));
+        BOOST_TEST(serving() == fleetSize);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenAFreshMemberServesOnceItHasHeardTheOthers)
+{
+    platformUp = false;
+    fleet.run(minute);
+    fleet.start(fleetSize);
+    BOOST_TEST(!serves(fleetSize));
+    BOOST_TEST(fleet.runUntil(seconds(10), [&] { return serves(fleetSize); }).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAMemberComesBackFromAPause)
+
+BOOST_AUTO_TEST_CASE(ThenItRefusesFromTheFirstRequestUntilItIsConfirmed)
+{
+    fleet.freeze(7);
+    fleet.run(minute);
+    // Before anything else runs on it.
+    BOOST_TEST(!serves(7));
+    fleet.thaw(7);
+    BOOST_TEST(!serves(7));
+    of(fleet.at(7)).tick();
+    BOOST_TEST(!serves(7));
+    BOOST_TEST(fleet.runUntil(seconds(10), [&] { return serves(7); }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ThenMessagesThatWaitedInItsBufferConfirmNothing)
+{
+    fleet.freeze(7);
+    fleet.run(minute);
+    // It is cut off while it was away, so that only the buffered messages reach it.
+    cutOff(7, 8);
+    fleet.thaw(7);
+    BOOST_TEST(!fleet.runUntil(minute, [&] { return serves(7); }).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenMembersAreCutOff)
+
+BOOST_AUTO_TEST_CASE(ThenALoneOneRefusesWithinSecondsAndServesAgainAfterwards)
+{
+    cutOff(7, 8);
+    BOOST_TEST(fleet.runUntil(seconds(15), [&] { return !serves(7); }).has_value());
+    BOOST_TEST(!fleet.runUntil(20 * minute, [&] { return serves(7); }).has_value());
+    BOOST_TEST(serving() == fleetSize - 1);
+    fleet.cut = nullptr;
+    BOOST_TEST(fleet.runUntil(minute, [&] { return serving() == fleetSize; }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ThenAMinorityRefusesAndTheRestServesOn)
+{
+    cutOff(14, 20);
+    BOOST_TEST(fleet.runUntil(seconds(30), [&] { return serving() == 14; }).has_value());
+    // It stays so when the minority has long held the others for dead.
+    for (int i = 0; i < 20; ++i) {
+        fleet.run(minute);
+        BOOST_TEST(serving() == 14u);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenOneThatHearsAndIsNotHeardRefusesToo)
+{
+    const auto mute = FakeFleet::endpointOf(7);
+    fleet.cut = [mute](const Endpoint& from, const Endpoint&) { return from == mute; };
+    BOOST_TEST(fleet.runUntil(seconds(15), [&] { return !serves(7); }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ThenAMinorityThatReachesThePlatformServesOn)
+{
+    cutOff(0, 4);
+    fleet.run(2 * minute);
+    for (size_t i = 0; i < 4; ++i)
+        BOOST_TEST(serves(i));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenANewerConfigurationIsKnownAndDoesNotArrive)
+
+BOOST_AUTO_TEST_CASE(ThenTheMemberRefusesAfterAWhile)
+{
+    const auto begun = fleet.clock.now();
+    fleet.at(7).board.configuration().updateFreshness([&](FreshnessRecord& record) { record.behindSince = begun; });
+    fleet.run(seconds(5));
+    BOOST_TEST(serves(7));
+    fleet.run(seconds(5));
+    BOOST_TEST(!serves(7));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenItsTicksStop)
+
+BOOST_AUTO_TEST_CASE(ThenNothingIsServedWhateverWasDecidedBefore)
+{
+    BOOST_TEST(serves(3));
+    fleet.clock.advance(seconds(3));
+    BOOST_TEST(!serves(3));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenBackendServersBesideANode)
+
+struct Servers {
+    ManualClock clock;
+    Board board { { "10.0.0.0:7000", "zone-0", { 1 }, { 1 } } };
+    LocalServers servers { board, clock };
+
+    std::optional<LocalServerRecord> record()
+    {
+        std::optional<LocalServerRecord> found;
+        board.localServers().visit("ledger", [&](const LocalServerRecord& record) { found = record; });
+        return found;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(ThenAnAnnouncementLapsesUnlessItIsRenewed, Servers)
+{
+    servers.announce("ledger", "127.0.0.1:9000", 8, seconds(10));
+    clock.advance(seconds(8));
+    BOOST_TEST(servers.renew("ledger"));
+    clock.advance(seconds(8));
+    BOOST_TEST(servers.expire().empty());
+    clock.advance(seconds(8));
+    BOOST_TEST(servers.expire().size() == 1u);
+    BOOST_TEST(!servers.renew("ledger"));
+}
+
+BOOST_FIXTURE_TEST_CASE(ThenADrainIsNotUndoneByRenewing, Servers)
+{
+    servers.announce("ledger", "127.0.0.1:9000", 8, seconds(10));
+    BOOST_TEST(servers.drain("ledger"));
+    servers.announce("ledger", "127.0.0.1:9000", 8, seconds(10));
+    BOOST_TEST(record()->announcement.draining);
+}
+
+BOOST_FIXTURE_TEST_CASE(ThenAnAnnouncementAfterAWithdrawalHasAGreaterGeneration, Servers)
+{
+    servers.announce("ledger", "127.0.0.1:9000", 8, seconds(10));
+    const auto before = record()->announcement.generation;
+    BOOST_TEST(servers.withdraw("ledger"));
+    BOOST_TEST(!record().has_value());
+    servers.announce("ledger", "127.0.0.1:9000", 8, seconds(10));
+    BOOST_TEST(record()->announcement.generation > before);
+    BOOST_TEST(!record()->announcement.draining);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
