--- /dev/null
+++ b/src/node/EntryRequest.h
@@ -0,0 +1,78 @@
+/// One request at the node where it entered, from its head to its reply. Private to the node library.
+#pragma once
+
+#include "node/Parts.h"
+#include "node/RequestBody.h"
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Vanillaridge {
+
+/// Runs on its exchange's strand.
+class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
+public:
+    /// \param parent the attempt whose backend server makes this call; nothing for a caller's request
+    EntryRequest(Parts&, std::shared_ptr<HttpExchange>, std::optional<AttemptId> parent);
+
+    Task<void> run();
+
+private:
+    /// One attempt while it is under way.
+    struct Attempt {
+        PlacementChoice choice;
+        AttemptId id;
+        Instant sentAt;
+        uint32_t lent { 0 };
+        std::optional<uint32_t> usedBelow;
+        std::optional<LoadFeedback> feedback;
+        Duration retryAfter { 0 };
+        Reason reason { Reason::None };
+    };
+
+    // Before the first attempt.
+    EntryDecision decide();
+    Task<Reason> passGates();
+    Reason claimIdempotencyKey();
+    Task<Reason> takeToken();
+    void open();
+    void watch();
+
+    // Attempts.
+    Task<void> serve();
+    Task<Decision> makeAttempt(Attempt&);
+    Task<Decision> awaitAnswer(Attempt&);
+    Task<Decision> passAnswer(Attempt&, AnswerHead);
+    Decision takeRefusal(Attempt&, const Refusal&);
+    Task<Decision> endWithoutAnswer(Attempt&, AttemptEnd);
+    void sendOpen(Attempt&);
+    void conclude(const Attempt&);
+    bool mayRetry(Reason);
+    void cancelAttempt(Reason);
+
+    // The end.
+    Task<void> refuse(Reason, Duration retryAfter);
+    void close(Outcome, uint16_t status);
+    std::string_view service() const { return m_decision.context.service; }
+    const RequestId& id() const { return m_decision.context.attempt.request; }
+
+    Parts& m_parts;
+    std::shared_ptr<HttpExchange> m_exchange;
+    std::optional<AttemptId> m_parent;
+    RouteName m_parentRoute;
+    EntryDecision m_decision;
+    std::string m_key;
+    std::string m_idempotencyKey;
+    bool m_claimed { false };
+    std::optional<QuotaDecision> m_token;
+    Instant m_receivedAt;
+    boost::asio::steady_timer m_deadline;
+    bool m_timedOut { false };
+    bool m_callerGone { false };
+    uint16_t m_answerStatus { 0 };
+    std::shared_ptr<RequestBody> m_body;
+    MessageStreamPointer m_stream;
+    std::vector<NodeId> m_tried;
+};
+
+} // namespace Vanillaridge
