Keep the most important class whole while a deep service is slow

Cause: with a deep service at a tenth, noise of few samples moved the shedding border into the most important class, trials of a lower limit cost a fifth of the rate, and shed levels reached sparse flows late. Ruled out: a shorter queue (it refused critical requests at 100 ms while slots freed every 14 ms).

--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -20,12 +20,11 @@
     // Latency over baseline that makes a trial worth while, and the baseline's drift per window.
     constexpr double suspiciousLatency = 1.5;
     constexpr double baselineDrift = 1.02;
-    // A trial lowers the limit to this; it succeeds if the rate stays above that share of what it was.
-    constexpr double trialFraction = 0.8;
-    constexpr double trialKeepsRate = 0.92;
-    constexpr double keptFraction = 0.9;
-    constexpr Duration firstTrialPause = seconds(2);
-    constexpr Duration longestTrialPause = seconds(16);
+    // A trial lowers the limit to this share; it succeeds if the latency falls to that one.
+    constexpr double trialFraction = 0.9;
+    constexpr double latencyAfterTrial = 0.95;
+    constexpr Duration firstTrialPause = seconds(4);
+    constexpr Duration longestTrialPause = seconds(32);
     // Share of the ceiling that a backend server starts with after a cold start.
     constexpr double coldFraction = 0.2;
 
@@ -95,35 +94,33 @@
     m_baseline = m_baseline == Duration(0) ? mean : std::min(mean, drifted);
     const bool suspicious = double(mean.count()) > suspiciousLatency * double(m_baseline.count());
     const bool saturated = 2 * m_window.saturatedUpdates > m_window.updates;
-    const double rate = m_window.ends / std::chrono::duration<double>(now - m_window.since).count();
 
     // 3. A trial under way goes on; otherwise one begins, or the limit grows.
     if (m_trial != Trial::None)
-        judgeTrial(now, rate);
+        judgeTrial(now, mean);
     else if (saturated && suspicious && now >= m_nextTrial)
-        startTrial(rate);
+        startTrial(mean);
     else if (saturated && !suspicious)
         grow(now - m_overloadedAt < overloadMemory ? slowGrowth : fastGrowth);
 }
 
-void ConcurrencyLimit::startTrial(double rate)
+void ConcurrencyLimit::startTrial(Duration latency)
 {
     m_limitBeforeTrial = m_limit;
-    m_rateBeforeTrial = rate;
+    m_latencyBeforeTrial = latency;
     m_limit = std::max({ 1.0, m_ceiling * floorFraction, m_limit * trialFraction });
     m_trial = Trial::Settling;
 }
 
 // The first window after the change still holds attempts from before it, so the second one counts.
-void ConcurrencyLimit::judgeTrial(Instant now, double rate)
+void ConcurrencyLimit::judgeTrial(Instant now, Duration latency)
 {
     if (m_trial == Trial::Settling) {
         m_trial = Trial::Measuring;
         return;
     }
     m_trial = Trial::None;
-    if (rate >= trialKeepsRate * m_rateBeforeTrial) {
-        m_limit = std::max({ 1.0, m_ceiling * floorFraction, m_limitBeforeTrial * keptFraction });
+    if (double(latency.count()) <= latencyAfterTrial * double(m_latencyBeforeTrial.count())) {
         m_trialPause = Duration(0);
         return;
     }
--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -6,8 +6,8 @@
 namespace Vanillaridge {
 
 /// Starts at the ceiling, which is what the backend server declared, and goes below it only on evidence: overload
-/// signals, or a latency above its baseline together with a trial that shows that fewer requests at once get as many
-/// done. A longer latency alone is no evidence, since a server may simply have slower work to do.
+/// signals, or a latency above its baseline together with a trial that shows that it falls when fewer run at once.
+/// A longer latency alone is no evidence, since a server may simply have slower work to do.
 /// Not safe for several threads; its gate's lock protects it.
 class ConcurrencyLimit {
 public:
@@ -32,8 +32,8 @@
     enum class Trial : uint8_t { None, Settling, Measuring };
 
     void closeWindow(Instant);
-    void judgeTrial(Instant, double rate);
-    void startTrial(double rate);
+    void judgeTrial(Instant, Duration latency);
+    void startTrial(Duration latency);
     void grow(double factor);
 
     double m_ceiling { 1 };
@@ -45,7 +45,7 @@
     Instant m_overloadedAt;
     Trial m_trial { Trial::None };
     double m_limitBeforeTrial { 0 };
-    double m_rateBeforeTrial { 0 };
+    Duration m_latencyBeforeTrial { 0 };
     Instant m_nextTrial;
     Duration m_trialPause { 0 };
 };
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -14,8 +14,8 @@
     constexpr Duration scanPeriod = milliseconds(1);
     // Weight of a new sample in the smoothed times.
     constexpr double timeSmoothing = 0.05;
-    // Share of the smoothed service time that must be left for an attempt to be worth starting.
-    constexpr double timeNeeded = 0.5;
+    // While nothing is served, the smoothed service time is forgotten: a wrong one must not refuse everything for good.
+    constexpr double serviceTimeMemory = 1; // seconds
     constexpr double shortestQueue = 4;
     // Baseline: drops by delay start when requests have waited this long for that time.
     constexpr Duration delayTarget = milliseconds(5);
@@ -33,7 +33,7 @@
 } // namespace
 
 const std::array<Gate::StrategyRow, 4> Gate::strategies { {
-    { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::orderByWorth, &Gate::isDroppedAtLimit, 1 },
+    { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::orderByWorth, &Gate::isDroppedUnlessCritical, 1 },
     { &Gate::noLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isNeverDropped, 1 },
     { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isDroppedAtLimit, 1 },
     { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isDroppedByDelay, 100 },
@@ -89,7 +89,13 @@
 
 double Gate::orderByArrival(const RequestContext&) const { return 0; }
 
-bool Gate::isDroppedAtLimit(const Ticket& ticket, Instant now) { return now - ticket.since > m_settings.queueLimit; }
+// The most important wait for as long as they can still finish: those less important make way for them.
+bool Gate::isDroppedUnlessCritical(const Ticket& ticket, Instant now)
+{
+    return ticket.place.importance != Importance::Critical && isDroppedAtLimit(ticket, now);
+}
+
+bool Gate::isDroppedAtLimit(const Ticket& ticket, Instant now) { return now - ticket.since > longestWait(); }
 
 bool Gate::isNeverDropped(const Ticket&, Instant) { return false; }
 
@@ -192,11 +198,22 @@
     if (end != AttemptEnd::Overloaded)
         ++m_ends;
     if (end == AttemptEnd::Served)
-        m_serviceTime += (m_serviceTime > 0 ? timeSmoothing : 1) * (inSeconds(spent) - m_serviceTime);
+        noteServiceTime(inSeconds(spent));
     m_tickets.erase(found);
     --m_running;
 }
 
+void Gate::noteServiceTime(double spent)
+{
+    ++m_served;
+    if (m_serviceTime <= 0) {
+        m_serviceTime = spent;
+        return;
+    }
+    m_serviceDeviation += timeSmoothing * (std::abs(spent - m_serviceTime) - m_serviceDeviation);
+    m_serviceTime += timeSmoothing * (spent - m_serviceTime);
+}
+
 void Gate::abandon(const AttemptId& attempt)
 {
     std::lock_guard guard(m_lock);
@@ -266,10 +283,14 @@
 void Gate::update(Instant now)
 {
     m_saturated |= !m_queue.empty();
-    m_budget.update({ now - m_updatedAt, m_ends, m_saturated, m_overflowed, m_queue.size(), queueCapacity() });
+    if (!m_served)
+        m_serviceTime *= std::exp(-inSeconds(now - m_updatedAt) / serviceTimeMemory);
+    m_budget.update(
+        { now - m_updatedAt, m_ends, m_saturated, m_overflowed, m_queue.size(), queueCapacity(), expectedService() });
     m_limit.update(now, m_saturated);
     m_updatedAt = now;
     m_ends = 0;
+    m_served = 0;
     m_saturated = false;
     m_overflowed = false;
 }
@@ -281,12 +302,15 @@
 {
     const double limit = m_limit.current(m_clock.now());
     const double rate = m_serviceTime > 0 ? limit / m_serviceTime : limit;
-    return std::max(shortestQueue, std::min(rate * inSeconds(m_settings.queueLimit), 4 * limit));
+    return std::max(shortestQueue, std::min(rate * inSeconds(longestWait()), 4 * limit));
 }
 
+// A slow backend server frees its slots rarely, so those who wait for one need about as long as it takes.
+Duration Gate::longestWait() const { return std::max(m_settings.queueLimit, expectedService()); }
+
 bool Gate::cannotFinish(Instant deadline, Instant now) const
 {
-    return now + fromSeconds(timeNeeded * m_serviceTime) >= deadline;
+    return now + fromSeconds(m_serviceTime + m_serviceDeviation) >= deadline;
 }
 
 // --- Feedback -----------------------------------------------------------------------------------------------------
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -65,6 +65,7 @@
     bool isNeverShed(const RequestContext&) const;
     double orderByWorth(const RequestContext&) const;
     double orderByArrival(const RequestContext&) const;
+    bool isDroppedUnlessCritical(const Ticket&, Instant);
     bool isDroppedAtLimit(const Ticket&, Instant);
     bool isDroppedByDelay(const Ticket&, Instant);
     bool isNeverDropped(const Ticket&, Instant);
@@ -77,8 +78,10 @@
     void refuseLate(Instant);
     void startWaiting(Instant);
     AdmissionDecision refusal(Reason);
+    void noteServiceTime(double spent);
     Duration expectedService() const;
     double queueCapacity() const;
+    Duration longestWait() const;
     bool cannotFinish(Instant deadline, Instant now) const;
 
     Clock& m_clock;
@@ -97,11 +100,13 @@
     uint32_t m_running { 0 };
     uint64_t m_sequence { 0 };
     double m_serviceTime { 0 }; // seconds
+    double m_serviceDeviation { 0 }; // seconds
     double m_queueTime { 0 }; // seconds
     // Since the last update.
     Instant m_updatedAt;
     Instant m_scannedAt;
     uint32_t m_ends { 0 };
+    uint32_t m_served { 0 };
     bool m_saturated { false };
     bool m_overflowed { false };
     // State of the drops by delay.
--- a/src/admission/ShedBudget.cpp
+++ b/src/admission/ShedBudget.cpp
@@ -8,10 +8,15 @@
 
 namespace {
 
-    // Memory of class totals and of the served rate, and of accounts' shares, which need more samples.
+    // Memory of class totals and of the served rate: this, or longer where samples are few. That of accounts' shares,
+    // which need more samples.
     constexpr double fastMemory = 0.2; // seconds
+    constexpr double longestMemory = 1.0; // seconds
+    constexpr double samplesNeeded = 50;
+    // A class that was not shed so far is left alone until its demand exceeds what is left by this factor.
+    constexpr double borderMargin = 1.2;
     constexpr double slowMemory = 1.0; // seconds
-    // Time in which the queue is to be brought to its target.
+    // Time in which the queue is to be brought to its target: this, or the service time if that is longer.
     constexpr double queueHorizon = 0.2; // seconds
     // Filling of the queue that is aimed at, and that starts shedding.
     constexpr double queueTarget = 0.25;
@@ -20,7 +25,7 @@
     // Shedding ends when the budget exceeds demand by this factor.
     constexpr double roomToStop = 1.2;
     // The budget is never below this share of the served rate.
-    constexpr double leastBudget = 0.2;
+    constexpr double leastBudget = 0.8;
     // Passes of water filling: each fixes the accounts that are below the level.
     constexpr int waterPasses = 12;
     // Accounts without traffic are forgotten: how often that is looked at (updates), and from which rate on.
@@ -29,6 +34,9 @@
 
     double smoothing(double elapsed, double memory) { return 1 - std::exp(-elapsed / memory); }
 
+    // Few requests per second are remembered longer, so that noise does not move the border.
+    double memoryAt(double rate) { return std::clamp(samplesNeeded / std::max(rate, 1.0), fastMemory, longestMemory); }
+
 } // namespace
 
 // Rows in the order of OverloadPolicy.
@@ -60,7 +68,6 @@
 // Totals follow fast; shares of accounts follow slowly, because each has few samples.
 void ShedBudget::smoothDemand(double elapsed)
 {
-    const double fast = smoothing(elapsed, fastMemory);
     const double slow = smoothing(elapsed, slowMemory);
     ByClass fresh {};
     for (auto& [name, account] : m_accounts) {
@@ -71,7 +78,7 @@
         account.fresh = {};
     }
     for (size_t i = 0; i < importanceCount; ++i) {
-        m_demand[i] += fast * (fresh[i] / elapsed - m_demand[i]);
+        m_demand[i] += smoothing(elapsed, memoryAt(m_demand[i])) * (fresh[i] / elapsed - m_demand[i]);
         m_slowDemand[i] += slow * (fresh[i] / elapsed - m_slowDemand[i]);
     }
     if (++m_updates % forgetEvery == 0) {
@@ -87,7 +94,7 @@
 void ShedBudget::smoothCapacity(const Observation& seen, double elapsed)
 {
     // 1. The served rate.
-    m_served += smoothing(elapsed, fastMemory) * (seen.ends / elapsed - m_served);
+    m_served += smoothing(elapsed, memoryAt(m_served)) * (seen.ends / elapsed - m_served);
     const double demand = std::accumulate(m_demand.begin(), m_demand.end(), 0.0);
     const double waiting = static_cast<double>(seen.waiting);
 
@@ -103,7 +110,8 @@
 
     // 3. The budget.
     if (seen.saturated) {
-        const double steering = (queueTarget * seen.queueCapacity - waiting) / queueHorizon;
+        const double horizon = std::max(queueHorizon, std::chrono::duration<double>(seen.serviceTime).count());
+        const double steering = (queueTarget * seen.queueCapacity - waiting) / horizon;
         m_budget = std::max(m_served + steering, leastBudget * m_served);
     } else {
         m_budget = std::max(m_budget, m_served) * std::pow(m_policy->recovery, elapsed / 0.05) + 1;
@@ -118,19 +126,20 @@
 
 void ShedBudget::placeBorder()
 {
-    m_border = importanceCount;
+    const size_t borderBefore = std::exchange(m_border, importanceCount);
     m_borderSurvival = 1;
     if (!m_shedding)
         return;
     double left = m_budget;
     for (size_t i = 0; i < importanceCount; ++i) {
-        if (m_demand[i] > left) {
+        const double margin = i < borderBefore ? borderMargin : 1;
+        if (m_demand[i] > margin * left) {
             m_border = i;
             m_borderSurvival = std::clamp(left / m_demand[i], 0.0, 1.0);
             m_share = (this->*m_policy->divide)(left);
             return;
         }
-        left -= m_demand[i];
+        left = std::max(0.0, left - m_demand[i]);
     }
 }
 
--- a/src/admission/ShedBudget.h
+++ b/src/admission/ShedBudget.h
@@ -30,6 +30,8 @@
         size_t waiting { 0 };
         /// Longest queue that its limit on waiting allows, in requests.
         double queueCapacity { 0 };
+        /// Smoothed time at the backend server.
+        Duration serviceTime { 0 };
     };
     void update(const Observation&);
 
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -10,8 +10,10 @@
 
     // Age of feedback from which on it counts no more; until then it fades evenly.
     constexpr Duration feedbackLife = seconds(1);
-    // Weight of a new shed level, so that the servers of a service are averaged.
+    // Least weight of a new shed level, so that the servers of a service are averaged, and the time after which what
+    // was told before weighs little.
     constexpr double shedSmoothing = 0.25;
+    constexpr Duration shedMemory = milliseconds(100);
     // Share of requests that pass although they would be shed, to learn when that ends.
     constexpr double probeFraction = 0.01;
     // Failures in a row that set a server aside, and for how long: doubled each time.
@@ -228,8 +230,8 @@
             return;
         }
         auto& record = found->second;
-        const bool isOld = now - record.at > feedbackLife;
-        record.level = isOld ? told : record.level + shedSmoothing * (told - record.level);
+        const double aged = 1 - std::exp(-double((now - record.at).count()) / double(shedMemory.count()));
+        record.level += std::max(shedSmoothing, aged) * (told - record.level);
         record.at = now;
         if (told <= 0 && record.level < 1e-3)
             records.erase(found);
