Let probes grow with what passes, not with what is shed

Cause: one percent of shed requests passed as probes, so callers that retry hard made many of them, and each does work before it is refused further down. Ruled out: no probes at all: then a flow learns of the end only when its record fades.

--- a/bench/OverloadCases.h
+++ b/bench/OverloadCases.h
@@ -185,7 +185,7 @@
         const double gap = -std::log(1 - m_random->unit()) / rateOf(m_accounts[index], now);
         m_events.after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap)), [this, index] {
             if (isWithinRate(m_accounts[index]))
-                send(index, drawImportance(), m_case.hardRetries, isDuring(m_events.now()));
+                sendFirst(index);
             scheduleNext(index);
         });
     }
@@ -212,20 +212,25 @@
         return static_cast<Importance>(i);
     }
 
-    void send(size_t index, Importance importance, uint32_t repeats, bool during)
+    // A request that its caller repeats counts as sent once, and as served when one of its repeats is.
+    void sendFirst(size_t index)
     {
-        const bool isFirst = repeats == m_case.hardRetries;
-        const bool isCounted = during && isFirst && m_events.now() >= m_triggerStart + settling;
-        if (isCounted) {
+        const auto importance = drawImportance();
+        const bool isCounted = isDuring(m_events.now()) && m_events.now() >= m_triggerStart + settling;
+        if (isCounted)
             ++m_tallies[index][size_t(importance)].sent;
-        }
+        send(index, importance, m_case.hardRetries, isCounted);
+    }
+
+    void send(size_t index, Importance importance, uint32_t repeats, bool isCounted)
+    {
         ++m_sent;
         m_fleet.call(m_accounts[index].name, importance, m_case.patience,
-            [this, index, importance, repeats, during, isCounted](const TreeEnd& end) {
+            [this, index, importance, repeats, isCounted](const TreeEnd& end) {
                 if (!end.served) {
                     m_wasted += end.work;
                     if (repeats > 0)
-                        m_events.after(hardRetryDelay, [=, this] { send(index, importance, repeats - 1, during); });
+                        m_events.after(hardRetryDelay, [=, this] { send(index, importance, repeats - 1, isCounted); });
                     return;
                 }
                 const auto at = size_t((m_events.now() - m_start) / bucket);
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -68,6 +68,9 @@
 struct ShedRecord {
     double level { 0 };
     Instant at;
+    /// Requests let through and shed since the level rose from 0, with decay.
+    double passed { 0 };
+    double shed { 0 };
 };
 
 /// Which routes the requests of one route go on to call, counted with decay.
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -14,7 +14,7 @@
     // was told before weighs little.
     constexpr double shedSmoothing = 0.25;
     constexpr Duration shedMemory = milliseconds(100);
-    // Share of requests that pass although they would be shed, to learn when that ends.
+    // Requests that pass although they would be shed, for each that passes, to learn when that ends.
     constexpr double probeFraction = 0.01;
     // Failures in a row that set a server aside, and for how long: doubled each time.
     constexpr uint32_t failuresToSetAside = 3;
@@ -93,6 +93,8 @@
     void noteResult(ServerRecord&, const CallEnd&);
     void noteShedLevel(const CallEnd&);
     void noteCall(const CallEnd&);
+    double presentLevel(const ShedRecord&) const;
+    bool isShed(ShedRecord&, RequestContext&);
     Duration slowStartOf(std::string_view service) const;
 
     Board& board;
@@ -216,6 +218,39 @@
     ++server.setAsides;
 }
 
+// What was told fades evenly between one life of feedback and two, so that requests return by and by when no answer
+// tells more.
+double Placement::State::presentLevel(const ShedRecord& record) const
+{
+    const double age = double((clock.now() - record.at).count()) / double(feedbackLife.count());
+    return record.level * std::clamp(2 - age, 0.0, 1.0);
+}
+
+// Whether this request is shed, and how many it stands for if not.
+bool Placement::State::isShed(ShedRecord& record, RequestContext& context)
+{
+    // 1. Those whose rank is high enough pass.
+    const double level = presentLevel(record);
+    const double survival = survivalAt(context.importance, level);
+    if (survival >= 1)
+        return false;
+
+    // 2. A few others pass as probes: in proportion to what passes, so that repeated requests do not make more.
+    const double ratio = record.passed / std::max(1.0, record.shed);
+    const double probe = context.depth == 1 ? probeFraction * std::min(1.0, ratio) : 0;
+    const bool isShed = shedRank(context) < level && random.unit() >= probe;
+    (isShed ? record.shed : record.passed) += 1;
+    if (record.passed + record.shed > requestsRemembered) {
+        record.passed /= 2;
+        record.shed /= 2;
+    }
+
+    // 3. What passes stands for what does not.
+    if (!isShed)
+        context.represents = std::max(context.represents, 1 / (survival + (1 - survival) * probe));
+    return isShed;
+}
+
 // Answers from several servers of one service are averaged; what is old no longer counts.
 void Placement::State::noteShedLevel(const CallEnd& end)
 {
@@ -226,7 +261,7 @@
         auto found = records.find(flow);
         if (found == records.end()) {
             if (told > 0)
-                records.emplace(flow, ShedRecord { told, now });
+                records.emplace(flow, ShedRecord { told, now, 0, 0 });
             return;
         }
         auto& record = found->second;
@@ -333,23 +368,10 @@
 {
     if (m_state->shedding == EdgeShedding::Off)
         return false;
-    double level = 0;
-    m_state->board.shedRecords().visit({ context.route, context.account }, [&](ShedRecord& record) {
-        if (m_state->clock.now() - record.at < feedbackLife)
-            level = record.level;
-    });
-
-    // 1. Those whose rank is high enough pass, and a few others at random: they tell when it is over.
-    const double survival = survivalAt(context.importance, level);
-    if (survival >= 1)
-        return false;
-    const bool mayProbe = context.depth == 1;
-    if (shedRank(context) < level && !(mayProbe && m_state->random.unit() < probeFraction))
-        return true;
-
-    // 2. What passes stands for what does not.
-    context.represents = std::max(context.represents, 1 / (survival + (1 - survival) * probeFraction));
-    return false;
+    bool isShed = false;
+    m_state->board.shedRecords().visit(
+        { context.route, context.account }, [&](ShedRecord& record) { isShed = m_state->isShed(record, context); });
+    return isShed;
 }
 
 } // namespace Vanillaridge
