--- a/tests/AdmissionTests.cpp
+++ b/tests/AdmissionTests.cpp
@@ -169,10 +169,11 @@
     std::map<AttemptId, Importance> m_waiting;
 };
 
-// Sends each account's requests at an even pace for some seconds and counts what starts after the first one.
+// Sends each account's requests at an even pace and counts what starts once the shed level has settled. Long enough for
+// the spread of the stable hash to average out.
 std::vector<double> servedRates(Guard& guard, std::span<const double> rates, Duration serviceTime)
 {
-    constexpr int steps = 5000;
+    constexpr int steps = 17000;
     constexpr int settled = 2000;
     constexpr Duration step = milliseconds(1);
     std::vector<double> due(rates.size());
