--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -240,6 +240,7 @@
     control.placement.began(attempt.choice);
     m_stream = co_await m_parts.peers.open(attempt.choice.endpoint);
     const auto guard = m_stream ? m_stream->peer().boot : BootId {};
+    attempt.sentAt = m_parts.clock.now();
     const auto begun = control.entryLedger.beginAttempt(id(), guard, attempt.sentAt.time_since_epoch());
     if (!begun)
         co_return Decision { NextStep::AnswerCaller, Reason::Internal };
@@ -262,7 +263,9 @@
     open.context.attempt = attempt.id;
     open.context.remaining = m_decision.deadline - m_parts.clock.now();
     open.context.retriesLeft = attempt.lent;
+    open.guard = m_stream->peer().boot;
     const auto& head = m_exchange->head();
+    open.contentLength = head.contentLength;
     open.method = head.method;
     open.target = head.target;
     open.headers = headersForBackend(head.headers, m_key);
@@ -281,7 +284,7 @@
             co_return co_await endWithoutAnswer(
                 attempt, m_timedOut ? AttemptEnd::TimedOut : AttemptEnd::ConnectionLost);
         if (auto* head = std::get_if<AnswerHead>(&*message)) {
-            if (m_parts.control.entryLedger.takeAnswer(*head))
+            if (m_parts.control.entryLedger.takeAnswer(attempt.id, *head))
                 co_return co_await passAnswer(attempt, std::move(*head));
         } else if (const auto* refusal = std::get_if<Refusal>(&*message)) {
             co_return takeRefusal(attempt, *refusal);
@@ -296,7 +299,7 @@
     attempt.reason = refusal.reason;
     attempt.retryAfter = refusal.retryAfter;
     m_parts.control.retry.collect(id(), attempt.lent, attempt.usedBelow);
-    const auto decision = m_parts.control.entryLedger.refused(refusal, mayRetry(refusal.reason));
+    const auto decision = m_parts.control.entryLedger.refused(attempt.id, refusal, mayRetry(refusal.reason));
     return decision.value_or(Decision { NextStep::AnswerCaller, Reason::Internal });
 }
 
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -57,8 +57,10 @@
 {
     const auto self = shared_from_this();
 
-    // 1. Whether this attempt may be taken at all.
+    // 1. Whether this attempt may be taken at all. A repeated message needs no answer beside the first one's.
     const auto reason = m_parts.control.guardLedger.accept(m_open, m_stream->peer(), senderClock);
+    if (reason == Reason::Duplicate)
+        co_return;
     if (reason != Reason::None) {
         refuse(reason, false);
         co_return;
