--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -243,7 +243,8 @@
         if (piece.end == BodyEnd::Cut || piece.end == BodyEnd::TooSlow)
             co_return false;
         const bool last = piece.end == BodyEnd::Last;
-        if (!co_await m_stream->sendBody({ std::move(piece.bytes), last }))
+        BodyChunk chunk { std::move(piece.bytes), last };
+        if (!co_await m_stream->sendBody(std::move(chunk)))
             co_return false;
         if (last)
             co_return true;
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -153,8 +153,9 @@
     const bool changed = applied && !(known && request->needsWhole);
     if (changed && !request->event.empty())
         log(LogLevel::Info, request->event, { { "service", announcement->service } });
-    co_await exchange->reply(applied ? textReply(200, "application/json", "{}\n")
-                                     : textReply(404, "application/json", "{\"problem\":\"not announced\"}\n"));
+    auto reply = applied ? textReply(200, "application/json", "{}\n")
+                         : textReply(404, "application/json", "{\"problem\":\"not announced\"}\n");
+    co_await exchange->reply(std::move(reply));
 }
 
 // --- Operators ------------------------------------------------------------------------------------------------------
@@ -193,8 +194,8 @@
     const auto path = exchange->head().path();
     const auto found = std::find_if(
         operatorPages.begin(), operatorPages.end(), [&](const OperatorPage& page) { return page.path == path; });
-    co_await exchange->reply(
-        found == operatorPages.end() ? textReply(404, "text/plain", "no such page\n") : found->make(m_parts));
+    auto reply = found == operatorPages.end() ? textReply(404, "text/plain", "no such page\n") : found->make(m_parts);
+    co_await exchange->reply(std::move(reply));
 }
 
 } // namespace Vanillaridge
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -51,12 +51,14 @@
 Task<bool> RequestBody::resend(MessageStream& stream)
 {
     for (size_t sent = 0; sent < m_kept.size(); sent += bodyPieceBytes) {
-        if (!co_await stream.sendBody({ m_kept.substr(sent, bodyPieceBytes), false }))
+        BodyChunk chunk { m_kept.substr(sent, bodyPieceBytes), false };
+        if (!co_await stream.sendBody(std::move(chunk)))
             co_return false;
     }
-    if (m_complete)
-        co_return co_await stream.sendBody({ {}, true });
-    co_return true;
+    if (!m_complete)
+        co_return true;
+    BodyChunk end { {}, true };
+    co_return co_await stream.sendBody(std::move(end));
 }
 
 Task<bool> RequestBody::readAndSend(MessageStream& stream)
@@ -79,7 +81,8 @@
     // 2. Kept before it is sent, so that nothing is lost if the stream ends meanwhile.
     keep(piece.bytes);
     m_complete = piece.end == BodyEnd::Last;
-    co_return co_await stream.sendBody({ std::move(piece.bytes), m_complete });
+    BodyChunk chunk { std::move(piece.bytes), m_complete };
+    co_return co_await stream.sendBody(std::move(chunk));
 }
 
 void RequestBody::keep(std::string_view bytes)
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -322,8 +322,9 @@
         connection->strand(), [connection, endpoint] { return connection->connect(endpoint); }, boost::asio::detached);
     boost::asio::co_spawn(self->peers->context, self->closeAfter(connection, 2 * self->peers->settings.connectTimeout),
         boost::asio::detached);
-    const auto stream = co_await connection->ready() ? connection->openStream() : nullptr;
-    if (!stream || !stream->send(query))
+    const bool ready = co_await connection->ready();
+    const auto stream = connection->openStream();
+    if (!ready || !stream || !stream->send(query))
         co_return std::nullopt;
 
     // 3. Its reply.
