Prove importance order, fairness, retry budgets and placement by properties

Cause: the promises of overload control need tests that fail without their mechanism; the baselines queued by importance, which they must not; an attempt without an answer took the whole retry budget with it. Before: no tests. Conclusion: kept; one retry stays with the entry while its attempt runs.

--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -33,10 +33,10 @@
 } // namespace
 
 const std::array<Gate::StrategyRow, 4> Gate::strategies { {
-    { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::orderByWorth, &Gate::isDroppedUnlessCritical, 1 },
-    { &Gate::noLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isNeverDropped, 1 },
-    { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isDroppedAtLimit, 1 },
-    { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::orderByArrival, &Gate::isDroppedByDelay, 100 },
+    { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::placeByWorth, &Gate::isDroppedUnlessCritical, 1 },
+    { &Gate::noLimit, &Gate::isNeverShed, &Gate::placeByArrival, &Gate::isNeverDropped, 1 },
+    { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::placeByArrival, &Gate::isDroppedAtLimit, 1 },
+    { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::placeByArrival, &Gate::isDroppedByDelay, 100 },
 } };
 
 Gate::Gate(Clock& clock, RandomSource& random, AdmissionStrategy strategy)
@@ -82,12 +82,13 @@
 
 bool Gate::isNeverShed(const RequestContext&) const { return false; }
 
-double Gate::orderByWorth(const RequestContext& context) const
+Gate::Place Gate::placeByWorth(const RequestContext& context)
 {
-    return m_budget.order(context.importance, context.account, context.treeHash);
+    const double order = m_budget.order(context.importance, context.account, context.treeHash);
+    return { context.importance, order, ++m_sequence };
 }
 
-double Gate::orderByArrival(const RequestContext&) const { return 0; }
+Gate::Place Gate::placeByArrival(const RequestContext&) { return { Importance::Low, 0, ++m_sequence }; }
 
 // The most important wait for as long as they can still finish: those less important make way for them.
 bool Gate::isDroppedUnlessCritical(const Ticket& ticket, Instant now)
@@ -143,7 +144,7 @@
 AdmissionDecision Gate::enqueueOrRefuse(const RequestContext& context, Instant deadline, Instant now)
 {
     m_saturated = true;
-    const Place place { context.importance, (this->*m_strategy.order)(context), ++m_sequence };
+    const Place place = (this->*m_strategy.place)(context);
 
     // 1. Shed by level or by a full queue, unless something less important waits, which then goes in its place.
     const bool isFull = double(m_queue.size()) >= queueCapacity() * m_strategy.queueFactor;
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -52,7 +52,7 @@
     struct StrategyRow {
         uint32_t (Gate::*limit)(Instant) const;
         bool (Gate::*isShed)(const RequestContext&) const;
-        double (Gate::*order)(const RequestContext&) const;
+        Place (Gate::*place)(const RequestContext&);
         bool (Gate::*isDropped)(const Ticket&, Instant);
         double queueFactor;
     };
@@ -63,8 +63,8 @@
     uint32_t declaredLimit(Instant) const;
     bool isShedByLevel(const RequestContext&) const;
     bool isNeverShed(const RequestContext&) const;
-    double orderByWorth(const RequestContext&) const;
-    double orderByArrival(const RequestContext&) const;
+    Place placeByWorth(const RequestContext&);
+    Place placeByArrival(const RequestContext&);
     bool isDroppedUnlessCritical(const Ticket&, Instant);
     bool isDroppedAtLimit(const Ticket&, Instant);
     bool isDroppedByDelay(const Ticket&, Instant);
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -12,8 +12,8 @@
     constexpr Duration feedbackLife = seconds(1);
     // Least weight of a new shed level, so that the servers of a service are averaged, and the time after which what
     // was told before weighs little.
-    constexpr double shedSmoothing = 0.25;
-    constexpr Duration shedMemory = milliseconds(100);
+    constexpr double shedSmoothing = 0.5;
+    constexpr Duration shedMemory = milliseconds(50);
     // Requests that pass although they would be shed, for each that passes, to learn when that ends.
     constexpr double probeFraction = 0.01;
     // Failures in a row that set a server aside, and for how long: doubled each time.
--- a/src/retry/Retry.cpp
+++ b/src/retry/Retry.cpp
@@ -160,14 +160,16 @@
     return RetryGrant { *number, m_state->delayBefore(*number) };
 }
 
-// While an attempt is under way nobody retries here, so the whole budget can go with it.
+// While an attempt is under way nobody retries here, so the budget goes with it, but for one retry: an attempt that is
+// lost takes what it was lent with it.
 uint32_t Retry::lendToAttempt(const RequestId& id)
 {
     if (m_state->strategy == RetryStrategy::NoBudget)
         return m_state->policy().retriesPerRequest;
     uint32_t lent = 0;
     m_state->board.entries().visit(id, [&](EntryRecord& entry) {
-        lent = std::exchange(entry.context.retriesLeft, 0);
+        lent = entry.context.retriesLeft > 0 ? entry.context.retriesLeft - 1 : 0;
+        entry.context.retriesLeft -= lent;
         entry.retriesBelow = 0;
     });
     return lent;
--- a/src/retry/Retry.h
+++ b/src/retry/Retry.h
@@ -1,9 +1,9 @@
 /// Retries bounded end to end: one budget for a caller's request and all calls it causes, and one per service.
 ///
 /// The budget of a request is spent rather than copied. An entry holds it in EntryRecord::context.retriesLeft. While an
-/// attempt is under way the entry's whole budget is lent to it and lies in AttemptRecord::context.retriesLeft at the
-/// guard; each call that the backend server makes takes its share from there into its own entry, and gives back what
-/// it did not use. With R retries per request, depth d and retry fraction p, a service at depth d gets at most
+/// attempt is under way all but one of the entry's retries are lent to it and lie in AttemptRecord::context.retriesLeft
+/// at the guard; each call that the backend server makes takes its share from there into its own entry, and gives back
+/// what it did not use. With R retries per request, depth d and retry fraction p, a service at depth d gets at most
 /// min(1 + R, (1 + p)^d) tries per first try, beside the constant reserve of each bucket.
 #pragma once
 
@@ -35,10 +35,10 @@
     /// must hold its budget: call after collect().
     std::optional<RetryGrant> mayRetry(const RequestId&, std::string_view service, Reason);
 
-    /// Takes the entry's whole budget, to be sent along with an attempt in RequestContext::retriesLeft.
+    /// Takes all but one of the entry's retries, to be sent along with an attempt in RequestContext::retriesLeft.
     uint32_t lendToAttempt(const RequestId&);
     /// Puts back into the entry what an attempt has left: `used` is what the answer told. Without an answer (nothing)
-    /// the loan counts as used.
+    /// the loan counts as used; of an attempt that was never sent, 0 was.
     void collect(const RequestId&, uint32_t lent, std::optional<uint32_t> used);
 
     /// Takes a call's share out of the running attempt that makes it, for the call's EntryRecord: half of what is
--- /dev/null
+++ b/tests/AdmissionTests.cpp
@@ -0,0 +1,371 @@
+// libraries: admission
+#include "admission/Admission.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace Vanillaridge;
+
+namespace {
+
+constexpr Duration patience = seconds(5);
+
+// One node with one backend server, whose requests the test starts and ends.
+struct Guard {
+    explicit Guard(uint32_t slots = 4, AdmissionStrategy strategy = AdmissionStrategy::Adaptive,
+        OverloadPolicy policy = OverloadPolicy::FairnessFirst)
+        : random(makeSeededRandom(7))
+        , board({ "127.0.0.1:7000", "zone-a", { 1 }, { 1 } })
+        , admission(board, clock, *random, strategy)
+    {
+        Declarations declarations;
+        declarations.services.push_back({ .name = "history", .slots = slots, .slowStart = Duration(0) });
+        declarations.policy.overload = policy;
+        board.configuration().adopt(std::make_shared<const Configuration>(1, std::move(declarations)));
+        announce(slots);
+    }
+
+    void announce(uint32_t slots, bool draining = false)
+    {
+        board.localServers().update("history", [&](LocalServerRecord& server) {
+            server.announcement = { "history", 1, slots, draining };
+        });
+    }
+
+    RequestContext request(Importance importance, std::string_view account = "owner")
+    {
+        RequestContext context;
+        context.attempt.request.sequence = ++sequence;
+        context.service = "history";
+        context.route = "look-up";
+        context.account = account;
+        context.importance = importance;
+        context.treeHash = mixHash(sequence, 1);
+        return context;
+    }
+
+    AdmissionVerdict offer(const RequestContext& context)
+    {
+        const auto decision = admission.offer(context, clock.now() + patience);
+        if (decision.verdict == AdmissionVerdict::Admitted)
+            running.push_back(context.attempt);
+        return decision.verdict;
+    }
+
+    std::vector<AdmissionChange> settle()
+    {
+        auto changes = admission.settle();
+        for (const auto& change : changes) {
+            if (change.decision.verdict == AdmissionVerdict::Admitted)
+                running.push_back(change.attempt);
+        }
+        return changes;
+    }
+
+    void finishOne()
+    {
+        if (running.empty())
+            return;
+        admission.finished("history", running.front(), AttemptEnd::Served);
+        running.erase(running.begin());
+    }
+
+    ManualClock clock;
+    std::unique_ptr<RandomSource> random;
+    Board board;
+    Admission admission;
+    std::vector<AttemptId> running;
+    uint64_t sequence { 0 };
+};
+
+// What the test does next, drawn at random.
+struct Step {
+    uint32_t kind;
+    Importance importance;
+    uint32_t account;
+    uint32_t milliseconds;
+};
+
+rc::Gen<std::vector<Step>> steps()
+{
+    return rc::gen::container<std::vector<Step>>(rc::gen::construct<Step>(rc::gen::inRange(0U, 10U),
+        rc::gen::map(rc::gen::inRange(0, int(importanceCount)), [](int value) { return Importance(value); }),
+        rc::gen::inRange(0U, 4U), rc::gen::inRange(0U, 30U)));
+}
+
+bool isForLoad(Reason reason)
+{
+    return reason == Reason::ShedAtGuard || reason == Reason::QueueFull || reason == Reason::QueueTimeout;
+}
+
+// Offers, ends and ticks in the order of the steps; checks the order of importance and that each offer ends once.
+class Play {
+public:
+    explicit Play(Guard& guard)
+        : m_guard(guard)
+    {
+    }
+
+    void run(const std::vector<Step>& steps)
+    {
+        for (const auto& step : steps) {
+            m_guard.clock.advance(milliseconds(step.milliseconds));
+            if (step.kind < 2)
+                m_guard.finishOne();
+            if (step.kind < 3)
+                settle();
+            else
+                offer(m_guard.request(step.importance, "account-" + std::to_string(step.account)));
+        }
+        for (int i = 0; i < 4000 && !m_waiting.empty(); ++i) {
+            m_guard.clock.advance(milliseconds(5));
+            m_guard.finishOne();
+            settle();
+        }
+        RC_ASSERT(m_waiting.empty());
+    }
+
+private:
+    void offer(const RequestContext& context)
+    {
+        const auto decision = m_guard.admission.offer(context, m_guard.clock.now() + patience);
+        if (decision.verdict == AdmissionVerdict::Admitted) {
+            m_guard.running.push_back(context.attempt);
+            for (const auto& [attempt, importance] : m_waiting)
+                RC_ASSERT(importance >= context.importance);
+        } else if (decision.verdict == AdmissionVerdict::Waiting) {
+            m_waiting[context.attempt] = context.importance;
+        }
+        settle();
+        check(context.importance, decision);
+    }
+
+    void settle()
+    {
+        const auto changes = m_guard.settle();
+        std::vector<std::pair<Importance, AdmissionDecision>> ended;
+        for (const auto& change : changes) {
+            const auto found = m_waiting.find(change.attempt);
+            RC_ASSERT(found != m_waiting.end());
+            ended.emplace_back(found->second, change.decision);
+            m_waiting.erase(found);
+        }
+        for (const auto& [importance, decision] : ended)
+            check(importance, decision);
+    }
+
+    // Nobody less important may wait when a request has just been refused for load.
+    void check(Importance importance, const AdmissionDecision& decision) const
+    {
+        if (decision.verdict != AdmissionVerdict::Refused || !isForLoad(decision.reason))
+            return;
+        for (const auto& [attempt, other] : m_waiting)
+            RC_ASSERT(other <= importance);
+    }
+
+    Guard& m_guard;
+    std::map<AttemptId, Importance> m_waiting;
+};
+
+// Sends each account's requests at an even pace and counts what starts once the shed level has settled. Long enough for
+// the spread of the stable hash to average out.
+std::vector<double> servedRates(Guard& guard, std::span<const double> rates, Duration serviceTime)
+{
+    constexpr int steps = 17000;
+    constexpr int settled = 2000;
+    constexpr Duration step = milliseconds(1);
+    std::vector<double> due(rates.size());
+    std::vector<double> served(rates.size());
+    std::map<AttemptId, size_t> owner;
+    std::map<Instant, std::vector<AttemptId>> ends;
+    for (int i = 0; i < steps; ++i) {
+        guard.clock.advance(step);
+        while (!ends.empty() && ends.begin()->first <= guard.clock.now()) {
+            for (const auto& attempt : ends.begin()->second)
+                guard.admission.finished("history", attempt, AttemptEnd::Served);
+            ends.erase(ends.begin());
+        }
+        for (size_t account = 0; account < rates.size(); ++account) {
+            for (due[account] += rates[account] / 1000; due[account] >= 1; due[account] -= 1) {
+                const auto context = guard.request(Importance::Normal, "account-" + std::to_string(account));
+                owner[context.attempt] = account;
+                guard.offer(context);
+            }
+        }
+        guard.settle();
+        for (const auto& attempt : std::exchange(guard.running, {})) {
+            ends[guard.clock.now() + serviceTime].push_back(attempt);
+            served[owner[attempt]] += i >= settled;
+        }
+    }
+    for (auto& rate : served)
+        rate *= 1000.0 / (steps - settled);
+    return served;
+}
+
+// Divides a capacity max-min.
+std::vector<double> fairRates(std::span<const double> rates, double capacity)
+{
+    std::vector<double> sorted(rates.begin(), rates.end());
+    std::sort(sorted.begin(), sorted.end());
+    double level = sorted.back();
+    for (size_t i = 0; i < sorted.size(); ++i) {
+        const double even = capacity / double(sorted.size() - i);
+        if (sorted[i] > even) {
+            level = even;
+            break;
+        }
+        capacity -= sorted[i];
+    }
+    std::vector<double> fair;
+    for (const double rate : rates)
+        fair.push_back(std::min(rate, level));
+    return fair;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GivenAGuard)
+
+BOOST_AUTO_TEST_SUITE(WhenASlotIsFree)
+
+BOOST_AUTO_TEST_CASE(ThenARequestStartsAtOnce)
+{
+    Guard guard(2);
+    BOOST_TEST((guard.offer(guard.request(Importance::Low)) == AdmissionVerdict::Admitted));
+    BOOST_TEST((guard.offer(guard.request(Importance::Low)) == AdmissionVerdict::Admitted));
+    BOOST_TEST((guard.offer(guard.request(Importance::Low)) == AdmissionVerdict::Waiting));
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheSameAttemptIsRefusedASecondTime)
+{
+    Guard guard;
+    const auto context = guard.request(Importance::Normal);
+    guard.offer(context);
+    BOOST_TEST((guard.admission.offer(context, guard.clock.now() + patience).reason == Reason::Duplicate));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheBackendServerIsLeaving)
+
+BOOST_AUTO_TEST_CASE(ThenNothingNewIsAdmitted)
+{
+    Guard guard;
+    guard.announce(4, true);
+    const auto decision = guard.admission.offer(guard.request(Importance::Critical), guard.clock.now() + patience);
+    BOOST_TEST((decision.reason == Reason::Draining));
+    guard.board.localServers().erase("history");
+    const auto later = guard.admission.offer(guard.request(Importance::Critical), guard.clock.now() + patience);
+    BOOST_TEST((later.reason == Reason::NoServer));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenRequestsWait)
+
+BOOST_AUTO_TEST_CASE(ThenTheMostImportantStartsFirst)
+{
+    Guard guard(1);
+    guard.offer(guard.request(Importance::Normal));
+    guard.offer(guard.request(Importance::Low));
+    const auto important = guard.request(Importance::Critical);
+    guard.offer(important);
+    guard.finishOne();
+    const auto changes = guard.settle();
+    BOOST_REQUIRE(changes.size() == 1u);
+    BOOST_TEST((changes[0].attempt == important.attempt));
+    BOOST_TEST((changes[0].decision.verdict == AdmissionVerdict::Admitted));
+}
+
+BOOST_AUTO_TEST_CASE(ThenOneThatCanNoLongerFinishIsDropped)
+{
+    Guard guard(1);
+    guard.offer(guard.request(Importance::Normal));
+    const auto hasty = guard.request(Importance::Critical);
+    guard.admission.offer(hasty, guard.clock.now() + milliseconds(20));
+    guard.clock.advance(milliseconds(30));
+    const auto changes = guard.settle();
+    BOOST_REQUIRE(changes.size() == 1u);
+    BOOST_TEST((changes[0].decision.reason == Reason::DeadlineExceeded));
+}
+
+BOOST_AUTO_TEST_CASE(ThenOneThatLeftIsNotReported)
+{
+    Guard guard(1);
+    guard.offer(guard.request(Importance::Normal));
+    const auto leaving = guard.request(Importance::Normal);
+    guard.offer(leaving);
+    guard.admission.abandon("history", leaving.attempt);
+    guard.finishOne();
+    BOOST_TEST(guard.settle().empty());
+    BOOST_TEST(guard.admission.feedback("history").waiting == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenOffersComeInAnyOrder)
+
+BOOST_AUTO_TEST_CASE(ThenImportanceGoesFirstAndEachOfferEndsOnce)
+{
+    BOOST_TEST(rc::check("importance order and no lost tickets", [] {
+        Guard guard(*rc::gen::inRange(1U, 4U));
+        Play(guard).run(*rc::gen::resize(400, steps()));
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAccountsSendMoreThanFits)
+
+BOOST_AUTO_TEST_CASE(ThenEachGetsItsMaxMinShare)
+{
+    BOOST_TEST(rc::check("max-min fairness inside a class", [] {
+        constexpr double capacity = 500;
+        std::vector<double> rates { 100, 400 };
+        for (uint32_t i = *rc::gen::inRange(1U, 4U); i > 0; --i)
+            rates.push_back(*rc::gen::inRange(100, 600));
+        Guard guard(10);
+        const auto served = servedRates(guard, rates, milliseconds(20));
+        const auto fair = fairRates(rates, capacity);
+        for (size_t i = 0; i < rates.size(); ++i)
+            RC_ASSERT(served[i] >= 0.9 * fair[i]);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheServerStaysBusy)
+{
+    Guard guard(10);
+    const auto served = servedRates(guard, std::vector<double> { 600, 400 }, milliseconds(20));
+    BOOST_TEST(served[0] + served[1] >= 0.97 * 500);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheBackendServerShedsItself)
+
+BOOST_AUTO_TEST_CASE(ThenItsLimitFallsAndComesBack)
+{
+    Guard guard(100);
+    for (int i = 0; i < 60; ++i)
+        guard.offer(guard.request(Importance::Normal));
+    for (const auto& attempt : std::exchange(guard.running, {}))
+        guard.admission.finished("history", attempt, AttemptEnd::Overloaded);
+    guard.clock.advance(seconds(1));
+    guard.settle();
+    BOOST_TEST(guard.admission.feedback("history").limit < 60u);
+    for (int i = 0; i < 3000; ++i) {
+        guard.clock.advance(milliseconds(10));
+        while (guard.offer(guard.request(Importance::Normal)) == AdmissionVerdict::Admitted) { }
+        for (const auto& attempt : std::exchange(guard.running, {}))
+            guard.admission.finished("history", attempt, AttemptEnd::Served);
+        guard.settle();
+    }
+    BOOST_TEST(guard.admission.feedback("history").limit == 100u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/RetryTests.cpp
@@ -0,0 +1,248 @@
+// libraries: retry
+#include "retry/Retry.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace Vanillaridge;
+
+namespace {
+
+constexpr uint32_t budget = 3;
+
+// One node; entries and attempts of all levels lie on its board, so that a whole tree can be played through.
+struct Fixture {
+    explicit Fixture(RetryStrategy strategy = RetryStrategy::Budget)
+        : random(makeSeededRandom(7))
+        , board({ "127.0.0.1:7000", "zone-a", { 1 }, { 1 } })
+        , retry(board, clock, *random, strategy)
+    {
+    }
+
+    RequestId enter(uint32_t retries, bool idempotent = true)
+    {
+        const RequestId id { { 1 }, { 1 }, ++sequence };
+        board.entries().update(id, [&](EntryRecord& entry) {
+            entry.context.retriesLeft = retries;
+            entry.context.idempotent = idempotent;
+        });
+        return id;
+    }
+
+    uint32_t left(const RequestId& id)
+    {
+        uint32_t left = 0;
+        board.entries().visit(id, [&](EntryRecord& entry) { left = entry.context.retriesLeft; });
+        return left;
+    }
+
+    ManualClock clock;
+    std::unique_ptr<RandomSource> random;
+    Board board;
+    Retry retry;
+    uint64_t sequence { 0 };
+};
+
+// A tree of calls in which every attempt fails in a way that is worth a retry, unless told otherwise.
+struct Tree {
+    Fixture& fixture;
+    uint32_t depth;
+    uint32_t fanOut;
+    // Whether the answer to a failed attempt comes, and tells what was used.
+    bool answers { true };
+    std::vector<uint64_t> attempts {};
+
+    explicit Tree(Fixture& fixture, uint32_t depth, uint32_t fanOut)
+        : fixture(fixture)
+        , depth(depth)
+        , fanOut(fanOut)
+        , attempts(depth + 1)
+    {
+    }
+
+    // Plays the entry of one call and returns the retries it used.
+    uint32_t enter(uint32_t level, uint32_t retries)
+    {
+        const auto id = fixture.enter(retries);
+        const auto service = "service-" + std::to_string(level);
+        fixture.retry.noteFirstTry(service);
+        AttemptId attempt { id, 0 };
+        for (;;) {
+            const auto lent = fixture.retry.lendToAttempt(id);
+            const auto used = run(level, attempt, lent);
+            fixture.retry.collect(id, lent, answers ? std::optional(used) : std::nullopt);
+            const auto grant = fixture.retry.mayRetry(id, service, Reason::PeerUnreachable);
+            if (!grant)
+                break;
+            attempt.number = grant->number;
+        }
+        uint32_t used = 0;
+        fixture.board.entries().visit(id, [&](EntryRecord& entry) { used = entry.retriesUsed; });
+        fixture.board.entries().erase(id);
+        return used;
+    }
+
+    // Plays the attempt at the guard, with the calls that its backend server makes.
+    uint32_t run(uint32_t level, const AttemptId& attempt, uint32_t lent)
+    {
+        ++attempts[level];
+        fixture.board.attempts().update(attempt, [&](AttemptRecord& record) { record.context.retriesLeft = lent; });
+        for (uint32_t i = 0; i < fanOut && level < depth; ++i) {
+            const auto share = fixture.retry.lendToChild(attempt);
+            const auto used = enter(level + 1, share);
+            fixture.retry.returnFromChild(attempt, share, used);
+        }
+        uint32_t used = 0;
+        fixture.board.attempts().visit(attempt, [&](AttemptRecord& record) { used = record.retriesUsed; });
+        fixture.board.attempts().erase(attempt);
+        return used;
+    }
+};
+
+uint64_t power(uint64_t base, uint32_t exponent) { return exponent ? base * power(base, exponent - 1) : 1; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GivenARequestWithABudget)
+
+BOOST_AUTO_TEST_SUITE(WhenItsTriesFail)
+
+BOOST_AUTO_TEST_CASE(ThenItIsRetriedUntilTheBudgetIsSpent)
+{
+    Fixture fixture;
+    const auto id = fixture.enter(2);
+    const auto first = fixture.retry.mayRetry(id, "history", Reason::PeerUnreachable);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->number == 1u);
+    BOOST_TEST(fixture.retry.mayRetry(id, "history", Reason::PeerUnreachable)->number == 2u);
+    BOOST_TEST(!fixture.retry.mayRetry(id, "history", Reason::PeerUnreachable));
+    BOOST_TEST(fixture.board.counters().retries(Reason::PeerUnreachable) == 2u);
+    BOOST_TEST(fixture.board.counters().value(Counter::RetriesWithoutBudget) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ThenOneThatMayHaveRunIsRetriedOnlyIfIdempotent)
+{
+    Fixture fixture;
+    const auto booking = fixture.enter(2, false);
+    BOOST_TEST(!fixture.retry.mayRetry(booking, "ledger", Reason::ConnectionLost));
+    BOOST_TEST(fixture.retry.mayRetry(booking, "ledger", Reason::PeerUnreachable).has_value());
+    const auto lookUp = fixture.enter(2, true);
+    BOOST_TEST(fixture.retry.mayRetry(lookUp, "ledger", Reason::ConnectionLost).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ThenARefusalForLoadIsNotRetried)
+{
+    Fixture fixture;
+    const auto id = fixture.enter(2);
+    BOOST_TEST(!fixture.retry.mayRetry(id, "history", Reason::ShedAtGuard));
+    BOOST_TEST(!fixture.retry.mayRetry(id, "history", Reason::ShedAtEntry));
+}
+
+BOOST_AUTO_TEST_CASE(ThenWhatWasRetriedFurtherDownIsNotRetriedHere)
+{
+    Fixture fixture;
+    const auto id = fixture.enter(3);
+    const auto lent = fixture.retry.lendToAttempt(id);
+    fixture.retry.collect(id, lent, 1);
+    BOOST_TEST(fixture.left(id) == 2u);
+    BOOST_TEST(!fixture.retry.mayRetry(id, "history", Reason::ConnectionLost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenItsCallsTakeTheirShares)
+
+BOOST_AUTO_TEST_CASE(ThenNothingIsMadeOrLost)
+{
+    BOOST_TEST(rc::check("budget conservation", [] {
+        Fixture fixture;
+        const auto total = *rc::gen::inRange(0U, 9U);
+        const auto id = fixture.enter(total);
+        const auto lent = fixture.retry.lendToAttempt(id);
+        const AttemptId attempt { id, 0 };
+        fixture.board.attempts().update(attempt, [&](AttemptRecord& record) { record.context.retriesLeft = lent; });
+        uint32_t spent = 0;
+        for (uint32_t i = *rc::gen::inRange(0U, 6U); i > 0; --i) {
+            const auto share = fixture.retry.lendToChild(attempt);
+            const auto used = *rc::gen::inRange(0U, share + 1);
+            spent += used;
+            fixture.retry.returnFromChild(attempt, share, used);
+        }
+        uint32_t told = 0;
+        fixture.board.attempts().visit(attempt, [&](AttemptRecord& record) { told = record.retriesUsed; });
+        RC_ASSERT(told == spent);
+        fixture.retry.collect(id, lent, told);
+        RC_ASSERT(fixture.left(id) + spent == total);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenOneTryIsKeptWhenNoAnswerComes)
+{
+    Fixture fixture;
+    const auto id = fixture.enter(budget);
+    const auto lent = fixture.retry.lendToAttempt(id);
+    fixture.retry.collect(id, lent, std::nullopt);
+    BOOST_TEST(fixture.retry.mayRetry(id, "history", Reason::ConnectionLost).has_value());
+    BOOST_TEST(!fixture.retry.mayRetry(id, "history", Reason::ConnectionLost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenEveryLevelFails)
+
+BOOST_AUTO_TEST_CASE(ThenTheTreeStaysWithinItsBound)
+{
+    BOOST_TEST(rc::check("amplification", [] {
+        Fixture fixture;
+        const auto depth = *rc::gen::inRange(1U, 8U);
+        const auto fanOut = *rc::gen::inRange(1U, 3U);
+        Tree tree(fixture, depth, fanOut);
+        tree.answers = *rc::gen::arbitrary<bool>();
+        tree.enter(1, budget);
+        for (uint32_t level = 1; level <= depth; ++level)
+            RC_ASSERT(tree.attempts[level] <= (1 + budget) * power(fanOut, level - 1));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenAnOutageCostsAServiceItsFractionAtMost)
+{
+    Fixture fixture;
+    constexpr uint32_t requests = 1000;
+    for (const uint32_t depth : { 1U, 3U, 5U, 7U }) {
+        Tree tree(fixture, depth, 1);
+        for (uint32_t i = 0; i < requests; ++i)
+            tree.enter(1, budget);
+        constexpr double reserve = 5;
+        double bound = requests;
+        for (uint32_t level = 1; level <= depth; ++level) {
+            bound = bound * (1 + Policy {}.retryFraction) + reserve;
+            BOOST_TEST(double(tree.attempts[level]) <= bound);
+        }
+        BOOST_TEST_MESSAGE("depth " << depth << ": " << double(tree.attempts[depth]) / requests << " attempts");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenACallerIsToldToComeBack)
+
+BOOST_AUTO_TEST_CASE(ThenTheTimeGrowsWithRefusalsAndVaries)
+{
+    Fixture fixture;
+    for (int i = 0; i < 100; ++i)
+        fixture.retry.noteFirstTry("history");
+    const auto early = fixture.retry.retryAfter("history", Reason::ShedAtGuard);
+    Duration late { 0 };
+    bool varies = false;
+    for (int i = 0; i < 500; ++i) {
+        const auto next = fixture.retry.retryAfter("history", Reason::ShedAtGuard);
+        varies |= next < late;
+        late = next;
+    }
+    BOOST_TEST(early.count() < late.count());
+    BOOST_TEST(varies);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
