--- a/bench/FakeFleet.h
+++ b/bench/FakeFleet.h
@@ -416,11 +416,11 @@
         m_work += length;
         m_events.after(length, [this, &node, tree, context, reply, isCancelled] {
             if (isCancelled)
-                vacate(node, context, AttemptEnd::Cancelled, Reason::Timeout, reply);
+                vacate(node, context, AdmittedEnd::Cancelled, Reason::Timeout, reply);
             else if (node.tier + 1 < m_settings.tiers.size())
                 callDeeper(node, tree, context, reply);
             else
-                vacate(node, context, failsAtEnd ? AttemptEnd::Failed : AttemptEnd::Served,
+                vacate(node, context, failsAtEnd ? AdmittedEnd::Failed : AdmittedEnd::Served,
                     failsAtEnd ? Reason::ConnectionLost : Reason::None, reply);
         });
     }
@@ -437,11 +437,11 @@
                 node.retry.returnFromChild(context.attempt, lent, used);
                 // A refusal further down is the backend server's own failure to those above.
                 const auto told = row(reason).worthAnotherServer ? Reason::ShedAtGuard : reason;
-                vacate(node, context, reason == Reason::None ? AttemptEnd::Served : AttemptEnd::Failed, told, reply);
+                vacate(node, context, reason == Reason::None ? AdmittedEnd::Served : AdmittedEnd::Failed, told, reply);
             });
     }
 
-    void vacate(Node& node, const RequestContext& context, AttemptEnd end, Reason reason, const Reply& reply)
+    void vacate(Node& node, const RequestContext& context, AdmittedEnd end, Reason reason, const Reply& reply)
     {
         node.admission.finished(context.service, context.attempt, end);
         uint32_t used = 0;
--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -122,7 +122,7 @@
     return gate.offer(context, deadline);
 }
 
-void Admission::finished(std::string_view service, const AttemptId& attempt, AttemptEnd end)
+void Admission::finished(std::string_view service, const AttemptId& attempt, AdmittedEnd end)
 {
     if (auto* gate = m_state->existingGate(ServiceName(service)))
         gate->finished(attempt, end);
--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -52,9 +52,9 @@
     return std::max(1U, static_cast<uint32_t>(m_limit * share));
 }
 
-void ConcurrencyLimit::noteEnd(AttemptEnd end, Duration serviceTime, uint32_t running)
+void ConcurrencyLimit::noteEnd(AdmittedEnd end, Duration serviceTime, uint32_t running)
 {
-    if (end == AttemptEnd::Overloaded) {
+    if (end == AdmittedEnd::Overloaded) {
         if (!m_window.overloads || running < m_window.leastRunningAtOverload)
             m_window.leastRunningAtOverload = running;
         ++m_window.overloads;
--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -15,7 +15,7 @@
     void configure(uint32_t slots, Instant coldSince, Duration slowStart);
     uint32_t current(Instant) const;
     /// Notes an attempt's end, its time at the backend server, and how many were running.
-    void noteEnd(AttemptEnd, Duration serviceTime, uint32_t running);
+    void noteEnd(AdmittedEnd, Duration serviceTime, uint32_t running);
     /// To be called every few milliseconds; `saturated` tells whether the limit holds requests back.
     void update(Instant, bool saturated);
 
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -188,7 +188,7 @@
 
 // --- Ends ---------------------------------------------------------------------------------------------------------
 
-void Gate::finished(const AttemptId& attempt, AttemptEnd end)
+void Gate::finished(const AttemptId& attempt, AdmittedEnd end)
 {
     std::lock_guard guard(m_lock);
     const auto found = m_tickets.find(attempt);
@@ -196,9 +196,9 @@
         return;
     const auto spent = m_clock.now() - found->second.since;
     m_limit.noteEnd(end, spent, m_running);
-    if (end != AttemptEnd::Overloaded)
+    if (end != AdmittedEnd::Overloaded)
         ++m_ends;
-    if (end == AttemptEnd::Served)
+    if (end == AdmittedEnd::Served)
         noteServiceTime(inSeconds(spent));
     m_tickets.erase(found);
     --m_running;
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -26,7 +26,7 @@
     void configure(const GateSettings&);
 
     AdmissionDecision offer(const RequestContext&, Instant deadline);
-    void finished(const AttemptId&, AttemptEnd);
+    void finished(const AttemptId&, AdmittedEnd);
     void abandon(const AttemptId&);
     void settle(std::string_view service, std::vector<AdmissionChange>&);
 
@@ -39,7 +39,7 @@
         Importance importance { Importance::Low };
         double order { 0 };
         uint64_t sequence { 0 };
-        auto operator<=>(const Place&) const = default;
+        auto operator<=>(const Place&) const = default; // NOLINT(modernize-use-nullptr)
     };
     struct Ticket {
         Place place;
--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -57,10 +57,13 @@
     Sharded<RouteName, RouteCallsRecord> routeCalls;
     Sharded<RequestId, EntryRecord> entries;
     Sharded<AttemptId, AttemptRecord> attempts;
+    Sharded<AttemptId, VerdictRecord> verdicts;
+    Sharded<DuplicateKey, DuplicateRecord> duplicates;
     ConfigurationFacts configuration;
     Outbox outbox;
     Counters counters;
     std::atomic<bool> draining { false };
+    std::atomic<bool> refusesAttempts { false };
 };
 
 Board::Board(Identity identity)
@@ -86,6 +89,10 @@
 
 Sharded<AttemptId, AttemptRecord>& Board::attempts() { return m_facts->attempts; }
 
+Sharded<AttemptId, VerdictRecord>& Board::verdicts() { return m_facts->verdicts; }
+
+Sharded<DuplicateKey, DuplicateRecord>& Board::duplicates() { return m_facts->duplicates; }
+
 ConfigurationFacts& Board::configuration() { return m_facts->configuration; }
 
 Outbox& Board::outbox() { return m_facts->outbox; }
@@ -96,4 +103,8 @@
 
 void Board::startDraining() { m_facts->draining.store(true, std::memory_order_relaxed); }
 
+bool Board::refusesAttempts() const { return m_facts->refusesAttempts.load(std::memory_order_relaxed); }
+
+void Board::startRefusingAttempts() { m_facts->refusesAttempts.store(true, std::memory_order_relaxed); }
+
 } // namespace Vanillaridge
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -19,13 +19,17 @@
     Instant lastHeard;
 };
 
+/// Ranks a member for a duty by rendezvous hashing: the live members with the highest scores have it, and a member that
+/// comes or goes moves no duty but its own.
+inline uint64_t dutyScore(NodeId member, uint64_t duty) { return mixHash(member.value, duty); }
+
 // --- Backend servers ----------------------------------------------------------------------------------------------
 
 /// One backend server: the service it belongs to, and the node beside it.
 struct ServerKey {
     NodeId node;
     ServiceName service;
-    auto operator<=>(const ServerKey&) const = default;
+    auto operator<=>(const ServerKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A backend server that requests may be sent to, and what answers from it have told.
@@ -61,7 +65,7 @@
 struct FlowKey {
     RouteName route;
     AccountName account;
-    auto operator<=>(const FlowKey&) const = default;
+    auto operator<=>(const FlowKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// The shed level that answers to a flow's requests have told, smoothed over the servers they came from.
@@ -81,6 +85,40 @@
 
 // --- Running requests ---------------------------------------------------------------------------------------------
 
+/// What a request waits for at the node where it entered.
+enum class EntryState : uint8_t {
+    /// Its next attempt, or the answer that has been decided on.
+    Decided,
+    /// Its attempt's answer.
+    Sent,
+    /// A verdict about its attempt; the answer may still come first.
+    Asking,
+    /// The rest of the answer.
+    Answering,
+};
+
+/// How an attempt ended that brought no whole answer.
+enum class AttemptEnd : uint8_t {
+    /// Nothing of it left this node.
+    NeverSent,
+    /// The guard refused it, and says that it has not started and will not.
+    RefusedNotStarted,
+    /// The guard refused it after it had started.
+    RefusedStarted,
+    /// The connection was lost before an answer began.
+    ConnectionLost,
+    /// Its time ran out before an answer began.
+    TimedOut,
+    /// The answer ended early, after its head was passed on.
+    AnswerCutShort,
+    /// The same, with what a verdict added.
+    ConnectionLostNotStarted,
+    ConnectionLostWithoutVerdict,
+    TimedOutNotStarted,
+    TimedOutWithoutVerdict,
+    Count,
+};
+
 /// A request that entered here and has no answer yet.
 struct EntryRecord {
     RequestContext context;
@@ -93,11 +131,32 @@
     uint32_t retriesBelow { 0 };
     /// Tries after the first made here.
     uint32_t retriesHere { 0 };
+    /// Whether the body can be sent once more.
+    bool bodyReplayable { true };
+    EntryState state { EntryState::Decided };
+    /// While a verdict is asked for: how the attempt ended.
+    AttemptEnd doubt { AttemptEnd::ConnectionLost };
+    /// The run of the guard that has the present attempt.
+    BootId guard;
+    /// `sentAt` of the present attempt's OpenRequest.
+    Duration openedAt { 0 };
+    /// Why it is unknown whether an earlier attempt ran; None if no earlier one can have.
+    Reason mayHaveRun { Reason::None };
 };
 
 enum class AttemptState : uint8_t { Waiting, Started, Finished, Barred };
 
-/// An attempt at the backend server beside this node.
+/// What this node may say about an attempt that was sent to it. Outlives the attempt for as long as somebody may ask,
+/// or the message that opens it may still come.
+struct VerdictRecord {
+    AttemptState state { AttemptState::Waiting };
+    Instant deadline;
+    /// When it may be forgotten; meaningless while it waits or runs.
+    Instant forgetAt;
+    bool cancelled { false };
+};
+
+/// An attempt at the backend server beside this node, while it waits or runs.
 struct AttemptRecord {
     RequestContext context;
     AttemptState state { AttemptState::Waiting };
@@ -108,16 +167,44 @@
     bool cancelled { false };
 };
 
+/// Hash of an account's name and its caller's idempotency key.
+struct DuplicateKey {
+    uint64_t high { 0 };
+    uint64_t low { 0 };
+    auto operator<=>(const DuplicateKey&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// A request that came with an idempotency key.
+struct DuplicateRecord {
+    RequestId request;
+    bool answered { false };
+    /// Of the answer, when there was one; 0 otherwise.
+    uint16_t status { 0 };
+    /// When it may be forgotten; meaningless before it is answered.
+    Instant forgetAt;
+};
+
 // --- Configuration ------------------------------------------------------------------------------------------------
 
 /// What is known of how fresh the configuration in force is.
 struct FreshnessRecord {
-    /// Highest number heard of, and its content.
+    /// Highest number heard of.
     uint64_t newestNumber { 0 };
-    uint64_t newestContentHash { 0 };
+    /// Content hash of the configuration in force.
+    uint64_t contentHash { 0 };
     /// When somebody read that number from the platform, as far as this node knows.
     Instant confirmedAt;
     bool platformReachable { false };
+    /// A member that has the newest number, to fetch it from.
+    Endpoint newestFrom;
+    /// Since when a newer configuration than the one in force has been known; the epoch when there is none.
+    Instant behindSince;
+    /// When this node started, or came back from its latest pause.
+    Instant resumedAt;
+    /// Share of the known members that can be reached, from 0 to 1, as far as probes tell.
+    double reachableShare { 0 };
+    /// Whether a member has answered since resumedAt, or there is none to answer.
+    bool viewRefreshed { false };
 };
 
 } // namespace Vanillaridge
@@ -128,6 +215,9 @@
         return Vanillaridge::mixHash(std::hash<std::string>()(key.route), std::hash<std::string>()(key.account));
     }
 };
+template <> struct std::hash<Vanillaridge::DuplicateKey> {
+    size_t operator()(const Vanillaridge::DuplicateKey& key) const noexcept { return key.low; }
+};
 template <> struct std::hash<Vanillaridge::ServerKey> {
     size_t operator()(const Vanillaridge::ServerKey& key) const noexcept
     {
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -60,6 +60,21 @@
         return record;
     }
 
+    // Carries over what is known of servers that are still the same.
+    void keepKnown(ServerGroup& announced, const ServerGroup& known)
+    {
+        for (auto& [node, server] : announced) {
+            const auto found = known.find(node);
+            if (found == known.end() || found->second.announcement.generation != server.announcement.generation)
+                continue;
+            auto kept = found->second;
+            kept.announcement = server.announcement;
+            kept.endpoint = server.endpoint;
+            kept.zone = server.zone;
+            server = std::move(kept);
+        }
+    }
+
     // The servers of one choice, with the group's lock held.
     struct Candidate {
         NodeId node;
@@ -309,18 +324,10 @@
     // 2. What is known of servers that stay the same goes on; the rest vanishes.
     m_state->board.servers().eraseIf(
         [&](const ServiceName& service, const ServerGroup&) { return !announced.contains(service); });
-    for (auto& [service, group] : announced) {
-        m_state->board.servers().update(service, [&](ServerGroup& known) {
-            for (auto& [node, server] : group) {
-                const auto found = known.find(node);
-                if (found == known.end() || found->second.announcement.generation != server.announcement.generation)
-                    continue;
-                auto kept = found->second;
-                kept.announcement = server.announcement;
-                kept.endpoint = server.endpoint;
-                kept.zone = server.zone;
-                server = std::move(kept);
-            }
+    for (auto& entry : announced) {
+        auto& group = entry.second;
+        m_state->board.servers().update(entry.first, [&](ServerGroup& known) {
+            keepKnown(group, known);
             known = std::move(group);
         });
     }
