--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -39,7 +39,7 @@
         Importance importance { Importance::Low };
         double order { 0 };
         uint64_t sequence { 0 };
-        auto operator<=>(const Place&) const = default;
+        auto operator<=>(const Place&) const = default; // NOLINT(modernize-use-nullptr)
     };
     struct Ticket {
         Place place;
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -12,8 +12,8 @@
     constexpr Duration feedbackLife = seconds(1);
     // Least weight of a new shed level, so that the servers of a service are averaged, and the time after which what
     // was told before weighs little.
-    constexpr double shedSmoothing = 0.25;
-    constexpr Duration shedMemory = milliseconds(100);
+    constexpr double shedSmoothing = 0.5;
+    constexpr Duration shedMemory = milliseconds(50);
     // Requests that pass although they would be shed, for each that passes, to learn when that ends.
     constexpr double probeFraction = 0.01;
     // Failures in a row that set a server aside, and for how long: doubled each time.
@@ -60,6 +60,28 @@
         return record;
     }
 
+    // When a server may be chosen again. One that was set aside is tried by one request at a time until it does well.
+    Instant backAt(const ServerRecord& server, Instant now)
+    {
+        const bool onTrial = server.setAsides > 0 && server.outstanding > 0;
+        return onTrial ? std::max(server.setAsideUntil, now + Duration(1)) : server.setAsideUntil;
+    }
+
+    // Carries over what is known of servers that are still the same.
+    void keepKnown(ServerGroup& announced, const ServerGroup& known)
+    {
+        for (auto& [node, server] : announced) {
+            const auto found = known.find(node);
+            if (found == known.end() || found->second.announcement.generation != server.announcement.generation)
+                continue;
+            auto kept = found->second;
+            kept.announcement = server.announcement;
+            kept.endpoint = server.endpoint;
+            kept.zone = server.zone;
+            server = std::move(kept);
+        }
+    }
+
     // The servers of one choice, with the group's lock held.
     struct Candidate {
         NodeId node;
@@ -120,11 +142,11 @@
 
     // Those set aside longest from now on are left out first; a floor of servers stays in use.
     const auto now = clock.now();
-    std::sort(present.begin(), present.end(), [](const Candidate& left, const Candidate& right) {
-        return std::pair(left.record->setAsideUntil, left.node) < std::pair(right.record->setAsideUntil, right.node);
+    std::sort(present.begin(), present.end(), [&](const Candidate& left, const Candidate& right) {
+        return std::pair(backAt(*left.record, now), left.node) < std::pair(backAt(*right.record, now), right.node);
     });
     const auto floor = static_cast<size_t>(std::ceil(usedFraction * double(present.size())));
-    while (present.size() > floor && present.back().record->setAsideUntil > now)
+    while (present.size() > floor && backAt(*present.back().record, now) > now)
         present.pop_back();
     return present;
 }
@@ -309,18 +331,10 @@
     // 2. What is known of servers that stay the same goes on; the rest vanishes.
     m_state->board.servers().eraseIf(
         [&](const ServiceName& service, const ServerGroup&) { return !announced.contains(service); });
-    for (auto& [service, group] : announced) {
-        m_state->board.servers().update(service, [&](ServerGroup& known) {
-            for (auto& [node, server] : group) {
-                const auto found = known.find(node);
-                if (found == known.end() || found->second.announcement.generation != server.announcement.generation)
-                    continue;
-                auto kept = found->second;
-                kept.announcement = server.announcement;
-                kept.endpoint = server.endpoint;
-                kept.zone = server.zone;
-                server = std::move(kept);
-            }
+    for (auto& entry : announced) {
+        auto& group = entry.second;
+        m_state->board.servers().update(entry.first, [&](ServerGroup& known) {
+            keepKnown(group, known);
             known = std::move(group);
         });
     }
