--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -38,6 +38,7 @@
 
 struct Dissemination::State : std::enable_shared_from_this<Dissemination::State> {
     using Effects = DisseminationEffects;
+    using Arrival = void (State::*)(const PlatformResult<StoredObject>&, Instant askedAt);
 
     State(Board&, const Clock&, RandomSource&, Platform&, const ManifestCodec&, DisseminationSettings);
 
@@ -61,6 +62,7 @@
     // The platform's side, in Watching.cpp.
     void reviewDuty(Instant now);
     void watchHead(Instant now, Effects&);
+    void readObject(std::string_view name, PendingCall State::*, Arrival, Instant now, Effects&);
     void readHead(Instant now, Effects&);
     void headArrived(const PlatformResult<StoredObject>&, Instant askedAt);
     void considerHead(uint64_t head, Instant askedAt);
@@ -69,7 +71,7 @@
     void judge(const StoredObject&, Effects&);
     void writeHead(uint64_t version, Effects&);
     void writeStatus(Instant now, Effects&);
-    void statusArrived(const PlatformResult<StoredObject>&, const std::string& text, uint64_t number);
+    void statusArrived(const PlatformResult<StoredObject>&, Instant askedAt);
     uint32_t rankAsReader(uint64_t version) const;
     PendingCall newCall(Instant now, Duration patience);
 
--- a/src/dissemination/Watching.cpp
+++ b/src/dissemination/Watching.cpp
@@ -51,10 +51,10 @@
 void Dissemination::State::reviewDuty(Instant now)
 {
     const auto duty = stableHash(watchDuty);
-    std::map<ZoneName, std::vector<std::pair<uint64_t, NodeId>>> zones;
+    std::map<ZoneName, std::vector<std::pair<uint64_t, uint64_t>>> zones;
     board.members().forEach([&](NodeId id, const MemberRecord& record) {
         if (record.said.state == MemberState::Alive)
-            zones[record.said.zone].emplace_back(dutyScore(id, duty), id);
+            zones[record.said.zone].emplace_back(dutyScore(id, duty), id.value);
     });
     watchers.clear();
     for (auto& [zone, members] : zones) {
@@ -62,7 +62,7 @@
         std::partial_sort(
             members.begin(), members.begin() + static_cast<std::ptrdiff_t>(count), members.end(), std::greater<>());
         for (size_t i = 0; i < count; ++i)
-            watchers.push_back(members[i].second);
+            watchers.push_back({ members[i].second });
     }
     const auto watched = isWatcher;
     isWatcher = watchers.empty() || std::find(watchers.begin(), watchers.end(), selfId) != watchers.end();
@@ -82,9 +82,9 @@
         return;
     headWatch = newCall(now, settings.watchPatience + settings.answerTimeout);
     effects.platformCalls.push_back(
-        [self = shared_from_this(), ticket = headWatch.ticket, now, version = headObjectVersion] {
+        [self = shared_from_this(), ticket = headWatch.ticket, version = headObjectVersion] {
             self->platform.watch(manifestHeadObject, version, self->settings.watchPatience,
-                [weak = std::weak_ptr(self), ticket, now](const PlatformResult<StoredObject>& result) {
+                [weak = std::weak_ptr(self), ticket](const PlatformResult<StoredObject>& result) {
                     const auto self = weak.lock();
                     if (!self)
                         return;
@@ -103,36 +103,43 @@
         });
 }
 
-void Dissemination::State::readHead(Instant now, Effects& effects)
+// Reads an object, unless an earlier reading is still waited for, and hands it on with the time of the asking.
+void Dissemination::State::readObject(
+    std::string_view name, PendingCall State::*call, Arrival arrived, Instant now, Effects& effects)
 {
-    if (headRead.waits(now))
+    if ((this->*call).waits(now))
         return;
-    nextHeadRead = now + random.jittered(settings.confirmPeriod, 0.1);
-    headRead = newCall(now, settings.answerTimeout);
-    effects.platformCalls.push_back([self = shared_from_this(), ticket = headRead.ticket, now] {
+    this->*call = newCall(now, settings.answerTimeout);
+    const auto ticket = (this->*call).ticket;
+    effects.platformCalls.push_back([self = shared_from_this(), name, call, arrived, ticket, now] {
         self->platform.get(
-            manifestHeadObject, [weak = std::weak_ptr(self), ticket, now](const PlatformResult<StoredObject>& result) {
+            name, [weak = std::weak_ptr(self), call, arrived, ticket, now](const PlatformResult<StoredObject>& result) {
                 const auto self = weak.lock();
                 if (!self)
                     return;
                 {
                     std::lock_guard guard(self->lock);
-                    if (self->headRead.ticket == ticket)
-                        self->headRead = {};
+                    if ((self.get()->*call).ticket == ticket)
+                        self.get()->*call = {};
                 }
-                self->headArrived(result, now);
+                if (!result && result.error() != PlatformError::NotFound)
+                    self->board.counters().add(Counter::PlatformFailures);
+                (self.get()->*arrived)(result, now);
             });
     });
 }
 
+void Dissemination::State::readHead(Instant now, Effects& effects)
+{
+    nextHeadRead = now + random.jittered(settings.confirmPeriod, 0.1);
+    readObject(manifestHeadObject, &State::headRead, &State::headArrived, now, effects);
+}
+
 void Dissemination::State::headArrived(const PlatformResult<StoredObject>& result, Instant askedAt)
 {
     std::lock_guard guard(lock);
-    if (!result) {
-        if (result.error() != PlatformError::NotFound)
-            board.counters().add(Counter::PlatformFailures);
+    if (!result)
         return;
-    }
     const auto version = manifestHeadFromText(result.value().value);
     if (!version)
         return;
@@ -177,30 +184,13 @@
     const auto period = settings.manifestPeriod * static_cast<int>(std::max<size_t>(watchers.size(), 1));
     nextTurnRead = now + settings.confirmPeriod;
     nextManifestRead = now + random.jittered(heldNumber() > 0 ? period : settings.confirmPeriod, 0.5);
-    manifestRead = newCall(now, settings.answerTimeout);
-    effects.platformCalls.push_back([self = shared_from_this(), ticket = manifestRead.ticket, now] {
-        self->platform.get(
-            manifestObject, [weak = std::weak_ptr(self), ticket, now](const PlatformResult<StoredObject>& result) {
-                const auto self = weak.lock();
-                if (!self)
-                    return;
-                {
-                    std::lock_guard guard(self->lock);
-                    if (self->manifestRead.ticket == ticket)
-                        self->manifestRead = {};
-                }
-                self->manifestArrived(result, now);
-            });
-    });
+    readObject(manifestObject, &State::manifestRead, &State::manifestArrived, now, effects);
 }
 
 void Dissemination::State::manifestArrived(const PlatformResult<StoredObject>& result, Instant askedAt)
 {
-    if (!result) {
-        if (result.error() != PlatformError::NotFound)
-            board.counters().add(Counter::PlatformFailures);
+    if (!result)
         return;
-    }
     run([&](Effects& effects) {
         const auto& object = result.value();
         if (object.version > std::max(heldNumber(), rejected))
@@ -239,30 +229,22 @@
 {
     if (statusDue == 0 || statusCall.waits(now))
         return;
-    statusCall = newCall(now, settings.answerTimeout);
-    effects.platformCalls.push_back([self = shared_from_this(), text = statusText, number = statusDue] {
-        self->platform.get(manifestStatusObject,
-            [weak = std::weak_ptr(self), text, number](const PlatformResult<StoredObject>& result) {
-                if (const auto self = weak.lock())
-                    self->statusArrived(result, text, number);
-            });
-    });
+    readObject(manifestStatusObject, &State::statusCall, &State::statusArrived, now, effects);
 }
 
-void Dissemination::State::statusArrived(
-    const PlatformResult<StoredObject>& result, const std::string& text, uint64_t number)
+void Dissemination::State::statusArrived(const PlatformResult<StoredObject>& result, Instant)
 {
     if (!result && result.error() != PlatformError::NotFound)
         return;
     run([&](Effects& effects) {
-        if (result && numberOfStatus(result.value().value) >= number) {
-            if (statusDue <= number)
-                statusDue = 0;
+        if (result && numberOfStatus(result.value().value) >= statusDue) {
+            statusDue = 0;
             return;
         }
         // A write that fails is found out by the next reading.
+        statusCall = newCall(clock.now(), settings.answerTimeout);
         const auto expected = result ? result.value().version : absentVersion;
-        effects.platformCalls.push_back([self = shared_from_this(), text, expected] {
+        effects.platformCalls.push_back([self = shared_from_this(), text = statusText, expected] {
             self->platform.put(manifestStatusObject, text, expected, [](const PlatformResult<uint64_t>&) {});
         });
     });
--- a/src/membership/Exchange.cpp
+++ b/src/membership/Exchange.cpp
@@ -206,7 +206,7 @@
 void Membership::State::refute(const MemberUpdate& update, Instant now)
 {
     const auto isOtherLife = update.boot != self.boot;
-    if (update.incarnation < self.incarnation || self.state != MemberState::Alive)
+    if (update.incarnation.value < self.incarnation.value || self.state != MemberState::Alive)
         return;
     if (!isOtherLife && update.state == MemberState::Alive)
         return;
@@ -292,7 +292,8 @@
             const auto known = found == theirs.end() ? nullptr : found->second;
             const auto live = ours && isLive(ours->state);
             const auto isNews = ours
-                && (known ? std::pair(ours->incarnation, ours->version) > std::pair(known->incarnation, known->version)
+                && (known ? std::pair(ours->incarnation.value, ours->version)
+                                > std::pair(known->incarnation.value, known->version)
                             || (!live && isLive(known->state))
                           : live);
             if (!isNews)
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -23,7 +23,8 @@
     {
         if (!isWhole(update))
             return false;
-        return update.boot == held.boot ? update.version > held.version : update.incarnation > held.incarnation;
+        return update.boot == held.boot ? update.version > held.version
+                                        : update.incarnation.value > held.incarnation.value;
     }
 
     void takeContent(const MemberUpdate& update, MemberUpdate& held)
@@ -47,7 +48,7 @@
     // The state that an update leads to. Within one incarnation the states only get worse.
     std::optional<MemberState> nextState(const MemberUpdate& update, const MemberUpdate& held)
     {
-        const auto newer = update.incarnation > held.incarnation;
+        const auto newer = update.incarnation.value > held.incarnation.value;
         if (!newer && update.state <= held.state)
             return std::nullopt;
         // One half of a fleet that was cut in two brings its deaths to the other: whoever they are said of gets the
@@ -157,13 +158,13 @@
     auto merged = Merged::Nothing;
     apply(id, [&](MemberRecord& record) {
         auto& held = record.said;
-        if (update.incarnation < held.incarnation)
+        if (update.incarnation.value < held.incarnation.value)
             return;
         const auto next = nextState(update, held);
         if (bringsContent(update, held)) {
             takeContent(update, held);
             merged = Merged::Content;
-        } else if (update.incarnation > held.incarnation && update.boot != held.boot) {
+        } else if (update.incarnation.value > held.incarnation.value && update.boot != held.boot) {
             startUnknownLife(update, held);
         }
         held.incarnation = update.incarnation;
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -13,27 +13,27 @@
 
 namespace {
 
-constexpr std::string_view bearerScheme = "Bearer ";
-constexpr uint16_t noStatus = 0;
-
-// The key of an Authorization header; nothing when there is none.
-std::optional<std::string_view> keyOf(const RequestHead& head)
-{
-    const auto value = head.header("Authorization");
-    if (value.size() <= bearerScheme.size() || !sameHeader(value.substr(0, bearerScheme.size()), bearerScheme))
-        return std::nullopt;
-    return value.substr(bearerScheme.size());
-}
+    constexpr std::string_view bearerScheme = "Bearer ";
+    constexpr uint16_t noStatus = 0;
+
+    // The key of an Authorization header; nothing when there is none.
+    std::optional<std::string_view> keyOf(const RequestHead& head)
+    {
+        const auto value = head.header("Authorization");
+        if (value.size() <= bearerScheme.size() || !sameHeader(value.substr(0, bearerScheme.size()), bearerScheme))
+            return std::nullopt;
+        return value.substr(bearerScheme.size());
+    }
 
-std::optional<Duration> remainingOf(const RequestHead& head)
-{
-    const auto text = head.header(remainingHeader);
-    uint32_t count = 0;
-    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), count);
-    if (text.empty() || error != std::errc() || stop != text.data() + text.size())
-        return std::nullopt;
-    return milliseconds(count);
-}
+    std::optional<Duration> remainingOf(const RequestHead& head)
+    {
+        const auto text = head.header(remainingHeader);
+        uint32_t count = 0;
+        const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+        if (text.empty() || error != std::errc() || stop != text.data() + text.size())
+            return std::nullopt;
+        return milliseconds(count);
+    }
 
 } // namespace
 
@@ -379,7 +379,8 @@
 {
     const auto latency = m_parts.clock.now() - attempt.sentAt;
     m_parts.control.placement.ended(attempt.choice,
-        { m_decision.context, m_parentRoute, attempt.reason, attempt.feedback ? &*attempt.feedback : nullptr, latency });
+        { m_decision.context, m_parentRoute, attempt.reason, attempt.feedback ? &*attempt.feedback : nullptr,
+            latency });
 }
 
 // --- The end --------------------------------------------------------------------------------------------------------
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -15,29 +15,29 @@
 
 namespace {
 
-constexpr Duration connectPatience = seconds(1);
-/// Room for body bytes beyond the first, once the backend server works on the request.
-constexpr size_t startedBodyCredit = 192 * 1024;
-
-bool signalsOverload(uint16_t status) { return status == 429 || status == 503; }
-bool isFailure(uint16_t status) { return status >= 500; }
-
-AdmittedEnd endOf(uint16_t status)
-{
-    if (signalsOverload(status))
-        return AdmittedEnd::Overloaded;
-    return isFailure(status) ? AdmittedEnd::Failed : AdmittedEnd::Served;
-}
+    constexpr Duration connectPatience = seconds(1);
+    /// Room for body bytes beyond the first, once the backend server works on the request.
+    constexpr size_t startedBodyCredit = 192 * 1024;
+
+    bool signalsOverload(uint16_t status) { return status == 429 || status == 503; }
+    bool isFailure(uint16_t status) { return status >= 500; }
+
+    AdmittedEnd endOf(uint16_t status)
+    {
+        if (signalsOverload(status))
+            return AdmittedEnd::Overloaded;
+        return isFailure(status) ? AdmittedEnd::Failed : AdmittedEnd::Served;
+    }
 
-// A backend server's answer must not look like the system's own word.
-std::vector<HeaderField> withoutOwnHeaders(std::vector<HeaderField> headers)
-{
-    std::erase_if(headers, [](const HeaderField& field) {
-        return field.name.size() >= ownHeaderPrefix.size()
-            && sameHeader(std::string_view(field.name).substr(0, ownHeaderPrefix.size()), ownHeaderPrefix);
-    });
-    return headers;
-}
+    // A backend server's answer must not look like the system's own word.
+    std::vector<HeaderField> withoutOwnHeaders(std::vector<HeaderField> headers)
+    {
+        std::erase_if(headers, [](const HeaderField& field) {
+            return field.name.size() >= ownHeaderPrefix.size()
+                && sameHeader(std::string_view(field.name).substr(0, ownHeaderPrefix.size()), ownHeaderPrefix);
+        });
+        return headers;
+    }
 
 } // namespace
 
@@ -67,7 +67,8 @@
     m_parts.board.attempts().visit(id(), [&](const AttemptRecord& record) { m_deadline = record.deadline; });
 
     // 2. What the entry sends meanwhile is read on the side.
-    boost::asio::co_spawn(m_strand, [self] { return self->readMessages(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        m_strand, [self] { return self->readMessages(); }, boost::asio::detached);
     watchDeadline();
     co_await serveAccepted();
 
@@ -224,7 +225,9 @@
 
     // 2. The body. One that ends early is said to.
     const bool whole = !head->hasBody || co_await passAnswerBody();
-    endAdmission(whole ? endOf(head->status) : m_cancelled != Reason::None ? AdmittedEnd::Cancelled : AdmittedEnd::Failed);
+    endAdmission(whole                    ? endOf(head->status)
+            : m_cancelled != Reason::None ? AdmittedEnd::Cancelled
+                                          : AdmittedEnd::Failed);
     if (!whole)
         refuse(Reason::AnswerCutShort, true);
 }
@@ -337,8 +340,7 @@
     refusal.guard = m_parts.board.self().boot;
     refusal.reason = reason;
     refusal.started = started;
-    refusal.retryAfter
-        = retryAfter > Duration(0) ? retryAfter : control.retry.retryAfter(context().service, reason);
+    refusal.retryAfter = retryAfter > Duration(0) ? retryAfter : control.retry.retryAfter(context().service, reason);
     refusal.feedback = control.admission.feedback(context());
     refusal.retriesUsed = retriesUsed();
     m_stream->send(std::move(refusal));
--- a/src/node/GuardFlow.cpp
+++ b/src/node/GuardFlow.cpp
@@ -21,22 +21,22 @@
 
 namespace {
 
-// Which controller takes which message.
-struct Receiver {
-    Controllers& control;
-    const Endpoint& from;
-
-    void operator()(const QuotaPull& message) const { control.quota.receive(from, message); }
-    void operator()(const QuotaGrant& message) const { control.quota.receive(from, message); }
-    void operator()(const Probe& message) const { control.membership.receive(from, message); }
-    void operator()(const ProbeAcknowledgement& message) const { control.membership.receive(from, message); }
-    void operator()(const MemberDigest& message) const { control.membership.receive(from, message); }
-    void operator()(const MemberBuckets& message) const { control.membership.receive(from, message); }
-    void operator()(const SectionListRequest& message) const { control.dissemination.receive(from, message); }
-    void operator()(const SectionList& message) const { control.dissemination.receive(from, message); }
-    void operator()(const SectionRequest& message) const { control.dissemination.receive(from, message); }
-    void operator()(const SectionReply& message) const { control.dissemination.receive(from, message); }
-};
+    // Which controller takes which message.
+    struct Receiver {
+        Controllers& control;
+        const Endpoint& from;
+
+        void operator()(const QuotaPull& message) const { control.quota.receive(from, message); }
+        void operator()(const QuotaGrant& message) const { control.quota.receive(from, message); }
+        void operator()(const Probe& message) const { control.membership.receive(from, message); }
+        void operator()(const ProbeAcknowledgement& message) const { control.membership.receive(from, message); }
+        void operator()(const MemberDigest& message) const { control.membership.receive(from, message); }
+        void operator()(const MemberBuckets& message) const { control.membership.receive(from, message); }
+        void operator()(const SectionListRequest& message) const { control.dissemination.receive(from, message); }
+        void operator()(const SectionList& message) const { control.dissemination.receive(from, message); }
+        void operator()(const SectionRequest& message) const { control.dissemination.receive(from, message); }
+        void operator()(const SectionReply& message) const { control.dissemination.receive(from, message); }
+    };
 
 } // namespace
 
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Room that a stream has before its backend server starts: as much as can be sent again elsewhere.
-constexpr size_t replayLimit = initialBodyCredit;
+    // Room that a stream has before its backend server starts: as much as can be sent again elsewhere.
+    constexpr size_t replayLimit = initialBodyCredit;
 
 } // namespace
 
@@ -25,8 +25,7 @@
 {
     m_sending = true;
     boost::asio::co_spawn(
-        m_exchange->strand(),
-        [self = shared_from_this(), stream = std::move(stream)] { return self->send(stream); },
+        m_exchange->strand(), [self = shared_from_this(), stream = std::move(stream)] { return self->send(stream); },
         boost::asio::detached);
 }
 
--- a/tests/FakeFleet.h
+++ b/tests/FakeFleet.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <set>
+#include <unordered_map>
 
 namespace Vanillaridge {
 
@@ -103,7 +104,7 @@
     // Whether each running member knows just the running ones as alive, at what they say of themselves.
     bool agrees()
     {
-        std::map<NodeId, MemberUpdate> truth;
+        std::unordered_map<NodeId, MemberUpdate> truth;
         forEach([&](FakeMember& member) {
             const auto id = member.board.self().id();
             member.board.members().visit(id, [&](const MemberRecord& record) { truth.emplace(id, record.said); });
@@ -113,7 +114,7 @@
         return all;
     }
 
-    static bool knows(FakeMember& member, const std::map<NodeId, MemberUpdate>& truth)
+    static bool knows(FakeMember& member, const std::unordered_map<NodeId, MemberUpdate>& truth)
     {
         size_t alive = 0;
         bool right = true;
