--- a/src/dissemination/Dissemination.h
+++ b/src/dissemination/Dissemination.h
@@ -36,12 +36,6 @@
     virtual CheckedManifest assemble(std::span<const ConfigurationSection>) const = 0;
 };
 
-/// Names of the platform's objects that are used here. The head holds the version of the manifest as decimal digits;
-/// whoever writes the manifest writes the head after it, and is done only then.
-constexpr std::string_view manifestObject = "manifest";
-constexpr std::string_view manifestHeadObject = "manifest-head";
-constexpr std::string_view manifestStatusObject = "status/manifest";
-
 /// The head's value for a version of the manifest.
 std::string manifestHeadText(uint64_t version);
 /// Reads what manifestHeadText wrote; nothing when the text is malformed.
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -57,8 +57,10 @@
 {
     const auto self = shared_from_this();
 
-    // 1. Whether this attempt may be taken at all.
+    // 1. Whether this attempt may be taken at all. A repeated message needs no answer beside the first one's.
     const auto reason = m_parts.control.guardLedger.accept(m_open, m_stream->peer(), senderClock);
+    if (reason == Reason::Duplicate)
+        co_return;
     if (reason != Reason::None) {
         refuse(reason, false);
         co_return;
@@ -179,6 +181,7 @@
         refuse(m_cancelled != Reason::None ? m_cancelled : late ? Reason::DeadlineExceeded : Reason::Barred, false);
         co_return;
     }
+    m_startedAt = m_parts.clock.now();
     if (co_await m_call->writeHead(headForBackend())) {
         if (m_open.hasBody) {
             m_sendingBody = true;
@@ -221,6 +224,7 @@
     answer.contentLength = head->contentLength;
     answer.feedback = m_parts.control.admission.feedback(context());
     answer.retriesUsed = retriesUsed();
+    answer.backendTime = m_parts.clock.now() - m_startedAt;
     m_stream->send(std::move(answer));
 
     // 2. The body. One that ends early is said to.
--- a/src/node/GuardFlow.cpp
+++ b/src/node/GuardFlow.cpp
@@ -2,7 +2,8 @@
 
 #include "node/GuardAttempt.h"
 
-#include <boost/asio/this_coro.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace Vanillaridge {
 
