Estimate datagrams with the header that they really have

The estimate left out the sender's endpoint and the time of sending: 68 bytes for a message of 90. A property test now holds it to the encoded size of random control messages; it failed on the first one.

--- a/src/messages/Size.cpp
+++ b/src/messages/Size.cpp
@@ -8,8 +8,10 @@
 
     // Bytes before each string or sequence, for its length.
     constexpr size_t lengthSize = 8;
-    // Bytes of the header and the MAC of a message, and of the number that tells its type.
-    constexpr size_t frameSize = 32 + 4;
+    // Bytes of the header of a datagram: MAC, protocol version, sender's endpoint and boot id, time of sending, kind.
+    // Frames of connections have a shorter one.
+    constexpr size_t longestEndpoint = std::string_view("255.255.255.255:65535").size();
+    constexpr size_t frameSize = 16 + 1 + lengthSize + longestEndpoint + 8 + 8 + 1;
 
     // Everything that has a fixed size is encoded in just that size.
     template <typename Value>
