--- a/src/quota/Pulls.cpp
+++ b/src/quota/Pulls.cpp
@@ -12,26 +12,26 @@
     constexpr double aheadShare = 0.75;
     constexpr double lowWaterShare = 0.25;
     // Requests expected in a token's life from which pulling ahead pays.
-    constexpr double leastAhead = 8;
+    constexpr double leastAhead = 4;
     // Sources asked in vain before an account gives up for a while.
     constexpr uint32_t sourcesPerRound = 8;
     // A source that gave less than this part of what was wanted was asked in vain.
     constexpr double fairAnswer = 0.5;
     // When to ask again for a slot that nobody is known to hold.
     constexpr Duration unknownHolderRetry = milliseconds(500);
+    // Parts of a token below this are rounding.
+    constexpr double negligible = 1e-6;
 
 } // namespace
 
-// Tokens that should be on their way and are not: those for waiting requests, and those for demand that lasts. An
-// account whose sources run dry pulls for waiting requests only, so that nothing lies idle elsewhere.
-double Pools::shortfall(const Pool& pool, Instant now) const
+// Tokens that should be on their way and are not: those for waiting requests, and those for demand that lasts.
+double Pools::shortfall(const Pool& pool) const
 {
     const double here = pool.tokens() + pool.pulled();
     const double waiting = pool.waiting();
     const double expected
         = std::min(pool.demand.perSecond(), pool.plan.rate) * std::chrono::duration<double>(pool.plan.validity).count();
-    const bool ahead = pool.plan.pullsAhead && expected >= leastAhead && !pool.misses && now >= pool.blockedUntil
-        && here - waiting < expected * lowWaterShare;
+    const bool ahead = pool.plan.pullsAhead && expected >= leastAhead && here - waiting < expected * lowWaterShare;
     return waiting - here + (ahead ? expected * aheadShare : 0);
 }
 
@@ -39,8 +39,8 @@
 // again, so that many requests at once cause few pulls.
 bool Pools::pullOnce(Pool& pool, Instant now, Effects& effects)
 {
-    const double amount = shortfall(pool, now);
-    if (now < pool.blockedUntil || amount < pool.pulled())
+    const double amount = shortfall(pool);
+    if (amount <= negligible || now < pool.blockedUntil || amount < pool.pulled())
         return false;
     if (pool.plan.usesHome) {
         const auto home = directory()->home(pool.plan.accountHash);
@@ -48,77 +48,124 @@
             return pullFromHome(pool, home, amount, now, effects);
     }
     const auto source = nextSource(pool, now);
-    return source && pullFromSlot(pool, *source, amount, now, effects);
+    if (!source)
+        return false;
+    // A slot gives no more than its capacity, so larger amounts go to several of them. Parts of a token are left where
+    // they are until enough of them are known.
+    const double share = std::min(amount, std::max(1.0, pool.plan.slotCapacity));
+    return pullFromSlot(pool, *source, share, std::min(share, 1.0), now, effects);
 }
 
 bool Pools::pullFromHome(Pool& pool, const Endpoint& home, double amount, Instant now, Effects& effects)
 {
-    if (now < pool.notBefore.front())
+    if (now < pool.sources.front().notBefore)
         return false;
-    send(pool, home, homeSlot, 0, amount, now, effects);
+    send(pool, home, homeSlot, { m_nextPull.fetch_add(1), 0, amount, now }, 0, effects);
     return true;
 }
 
-// A slot gives no more than its capacity, so larger amounts go to several of them.
-bool Pools::pullFromSlot(Pool& pool, uint32_t index, double amount, Instant now, Effects& effects)
+bool Pools::pullFromSlot(Pool& pool, uint32_t index, double amount, double least, Instant now, Effects& effects)
 {
-    const double share = std::min(amount, std::max(1.0, pool.plan.slotCapacity));
     const auto slot = pool.plan.slotAt(index, m_settings.slots);
-    pool.nextIndex = index;
-    if (const auto draw = m_slots.draw(slot, pool.plan, share)) {
+    pool.nextIndex = (index + 1) % pool.plan.slots;
+    if (const auto draw = m_slots.draw(slot, pool.plan, amount, least)) {
         addTokens(pool, draw->tokens, now + pool.plan.validity);
-        noteResult(pool, index, share, *draw, now);
-        return true;
-    }
-    const auto known = directory();
-    const auto holders = slot < m_settings.slots ? known->holders(slot) : std::span<const Endpoint>();
-    if (holders.empty()) {
-        noteResult(pool, index, share, { 0, unknownHolderRetry }, now);
+        noteResult(pool, index, amount, *draw, now);
         return true;
     }
-    send(pool, holders[m_random.below(holders.size())], slot, index, share, now, effects);
+    const auto holder = holderOf(slot);
+    if (holder.empty())
+        noteResult(pool, index, amount, { 0, unknownHolderRetry, 0 }, now);
+    else
+        send(pool, holder, slot, { m_nextPull.fetch_add(1), index, amount, now }, least, effects);
     return true;
 }
 
-void Pools::send(
-    Pool& pool, const Endpoint& to, uint32_t slot, uint32_t index, double amount, Instant now, Effects& effects)
+// One of the members that say they hold the slot; empty if none does.
+Endpoint Pools::holderOf(uint32_t slot)
+{
+    if (slot >= m_settings.slots)
+        return {};
+    const auto known = directory();
+    const auto holders = known->holders(slot);
+    return holders.empty() ? Endpoint() : holders[m_random.below(holders.size())];
+}
+
+void Pools::send(Pool& pool, const Endpoint& to, uint32_t slot, const Pull& pull, double least, Effects& effects)
 {
-    const auto number = m_nextPull.fetch_add(1);
-    pool.pulls.push_back({ number, index, amount, now });
-    effects.messages.push_back({ to, QuotaPull { number, pool.account, slot, amount, pool.generation } });
+    pool.pulls.push_back(pull);
+    effects.messages.push_back(
+        { to, QuotaPull { pull.number, pool.account, slot, pull.wanted, least, pool.generation } });
     m_board.counters().add(Counter::QuotaPulls);
-    if (!pool.listed) {
-        pool.listed = true;
-        effects.listAccount = true;
+    list(pool, effects);
+}
+
+// Fetches parts of tokens from several slots, once no slot has a whole one and they are known to add up to one.
+bool Pools::collect(Pool& pool, Instant now, Effects& effects)
+{
+    if (pool.waiters.empty() || !pool.pulls.empty())
+        return false;
+    // A little more than is missing, so that the sum of the parts never rounds to less than a token.
+    double missing = std::min(1.0, pool.waiting() - pool.tokens()) + negligible;
+    double known = 0;
+    for (const auto& source : pool.sources)
+        known += source.left;
+    if (known < missing)
+        return false;
+    // What is left then has to grow to a token again.
+    const double wait = std::max(0.0, 1 + missing - known) / pool.plan.rate;
+    block(pool, now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)));
+    for (uint32_t index = 0; index < pool.sources.size() && missing > 0; ++index) {
+        const double part = std::min(missing, std::exchange(pool.sources[index].left, 0));
+        if (part <= 0)
+            continue;
+        missing -= part;
+        pullFromSlot(pool, index, part, 0, now, effects);
     }
+    return true;
 }
 
-// The source that was good last, or the next one in the ring that may be asked and has no pull under way.
-std::optional<uint32_t> Pools::nextSource(Pool& pool, Instant now) const
+// The next source in the ring that may be asked and has no pull under way. Taking turns keeps the slots level.
+std::optional<uint32_t> Pools::nextSource(const Pool& pool, Instant now) const
 {
     for (uint32_t step = 0; step < pool.plan.slots; ++step) {
         const uint32_t index = (pool.nextIndex + step) % pool.plan.slots;
         const bool asked = std::ranges::any_of(pool.pulls, [&](const Pull& pull) { return pull.index == index; });
-        if (!asked && now >= pool.notBefore[index])
+        if (!asked && now >= pool.sources[index].notBefore)
             return index;
     }
     return std::nullopt;
 }
 
-// Learns from an answer. A round of answers in vain ends the search for as long as the last one advises.
+// Learns from an answer. A round of answers in vain ends the search until the soonest of the times that they advise;
+// then all sources may be asked again, since what each has left may add up to a token.
 void Pools::noteResult(Pool& pool, uint32_t index, double wanted, const QuotaDraw& draw, Instant now)
 {
-    if (index >= pool.notBefore.size())
+    if (index >= pool.sources.size())
         return;
-    pool.notBefore[index] = draw.tokens < wanted ? now + draw.retryAfter : now;
-    if (draw.tokens >= wanted)
+    const bool enough = draw.tokens >= wanted;
+    pool.sources[index] = { enough ? now : now + draw.retryAfter, enough ? 0 : draw.left };
+    if (enough)
         pool.misses = 0;
     else if (draw.tokens < wanted * fairAnswer)
         ++pool.misses;
     if (pool.misses < std::min(pool.plan.slots, sourcesPerRound))
         return;
     pool.misses = 0;
-    pool.blockedUntil = now + draw.retryAfter;
+    Instant until = now + draw.retryAfter;
+    for (const auto& source : pool.sources) {
+        if (source.notBefore > now)
+            until = std::min(until, source.notBefore);
+    }
+    block(pool, until);
+}
+
+// Asks nobody until then, and everybody from then on.
+void Pools::block(Pool& pool, Instant until)
+{
+    pool.blockedUntil = until;
+    for (auto& source : pool.sources)
+        source.notBefore = std::min(source.notBefore, until);
 }
 
 } // namespace Vanillaridge
