--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -36,6 +36,8 @@
 
 } // namespace
 
+std::string_view toText(LogLevel level) { return levelNames[static_cast<size_t>(level)]; }
+
 void setLogLevel(LogLevel level) { s_level.store(level, std::memory_order_relaxed); }
 
 bool setLogLevel(std::string_view text)
