--- a/src/platformclient/PlatformClient.h
+++ b/src/platformclient/PlatformClient.h
@@ -14,7 +14,6 @@
 
 namespace Vanillaridge {
 
-
 /// The platform over HTTP. Calls run on the given io_context, on whichever of its threads is free; they may still be
 /// under way when this object goes, so whatever the callbacks refer to must outlive the io_context's run.
 ///
