--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -90,6 +90,8 @@
 uint64_t stableHash(std::string_view);
 /// Mixes two 64-bit values into one; the same on every node.
 uint64_t mixHash(uint64_t, uint64_t);
+/// Maps a hash evenly to [0, 1).
+double unitOfHash(uint64_t);
 
 /// An IP address and port in the form "address:port".
 using Endpoint = std::string;
@@ -97,21 +99,21 @@
 /// A node, known by the stable hash of its peer endpoint.
 struct NodeId {
     uint64_t value { 0 };
-    auto operator<=>(const NodeId&) const = default;
+    auto operator<=>(const NodeId&) const = default; // NOLINT(modernize-use-nullptr)
     static NodeId of(std::string_view endpoint) { return { stableHash(endpoint) }; }
 };
 
 /// Orders successive lives of the node at one endpoint: a restarted node has a greater one.
 struct Incarnation {
     uint64_t value { 0 };
-    auto operator<=>(const Incarnation&) const = default;
+    auto operator<=>(const Incarnation&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Random identity of one run of a node's process. Two runs never share one, so knowledge of one run is never taken
 /// for knowledge of another.
 struct BootId {
     uint64_t value { 0 };
-    auto operator<=>(const BootId&) const = default;
+    auto operator<=>(const BootId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// One request as seen by the node where it entered.
@@ -119,14 +121,14 @@
     NodeId entry;
     BootId boot;
     uint64_t sequence { 0 };
-    auto operator<=>(const RequestId&) const = default;
+    auto operator<=>(const RequestId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// One try of a request at one guard.
 struct AttemptId {
     RequestId request;
     uint32_t number { 0 };
-    auto operator<=>(const AttemptId&) const = default;
+    auto operator<=>(const AttemptId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// "entry-boot-sequence" in hexadecimal: the form a backend server sees.
@@ -194,6 +196,8 @@
     AnswerCutShort,
     CallerGone,
     Internal,
+    MessageTooOld,
+    MemoryFull,
     Count,
 };
 constexpr size_t reasonCount = static_cast<size_t>(Reason::Count);
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -25,8 +25,8 @@
     uint32_t waiting { 0 };
     /// Requests it lets run at once at present.
     uint32_t limit { 0 };
-    /// What is shed, from 0 (nothing) to importanceCount (everything): classes in whole steps, the rest by request
-    /// hash.
+    /// What is shed of the requests of the account that this is sent to, from 0 (nothing) to importanceCount
+    /// (everything): classes in whole steps, the rest by request hash.
     double shedLevel { 0 };
     /// Smoothed time that a request spends at the backend server.
     Duration serviceTime { 0 };
@@ -52,11 +52,22 @@
     uint32_t depth { 1 };
     /// The same for all calls that one caller's request causes, so that whole requests are shed together.
     uint64_t treeHash { 0 };
+    /// Requests that this one stands for: itself, and those like it that were shed on the way here.
+    double represents { 1 };
 };
 
+/// Where a request stands among those that may be shed, from 0 (shed first) to importanceCount: it is shed while its
+/// rank is below the shed level. Classes go by whole steps; inside a class the stable hash decides, so that the same
+/// whole requests survive on every node.
+double shedRank(const RequestContext&);
+/// The share of an account's requests of this importance that survive at a shed level.
+double survivalAt(Importance, double shedLevel);
+
 /// Opens a stream: a request for the backend server beside the receiver.
 struct OpenRequest {
     RequestContext context;
+    /// The run of the guard that this is for.
+    BootId guard;
     std::string method;
     std::string target;
     std::vector<HeaderField> headers;
@@ -64,20 +75,31 @@
     bool hasBody { false };
     /// The sender's BootClock when it sent this; with the handshake it bounds the message's age.
     Duration sentAt { 0 };
+    /// Bytes of the body, when known beforehand.
+    std::optional<uint64_t> contentLength {};
 };
 
 /// The beginning of a backend server's answer.
 struct AnswerHead {
+    /// What this answers, and the run of the guard that does: compared before it is handed on.
+    AttemptId attempt;
+    BootId guard;
     uint16_t status { 0 };
     std::vector<HeaderField> headers;
     bool hasBody { false };
     LoadFeedback feedback;
     /// Retries of the request that its calls have used.
     uint32_t retriesUsed { 0 };
+    /// Bytes of the body, when known beforehand.
+    std::optional<uint64_t> contentLength {};
+    /// From sending the request to the backend server until its answer began.
+    Duration backendTime { 0 };
 };
 
 /// The guard's own answer: the request has not run, or may have, as the reason says.
 struct Refusal {
+    AttemptId attempt;
+    BootId guard;
     Reason reason { Reason::Internal };
     /// Whether the backend server may have begun on it.
     bool started { false };
@@ -107,6 +129,8 @@
     AttemptId attempt;
     /// The run of the guard that the attempt was sent to.
     BootId guard;
+    /// `sentAt` of the attempt's OpenRequest. A guard says nothing of attempts older than its memory.
+    Duration openedAt { 0 };
 };
 
 enum class VerdictKind : uint8_t { NotStarted, Started, Unknown };
@@ -116,6 +140,38 @@
     VerdictKind kind { VerdictKind::Unknown };
 };
 
+// --- Connections (over TCP) ---------------------------------------------------------------------------------------
+
+/// Random bytes that make the keys of one connection differ from those of every other.
+using Nonce = std::array<uint8_t, 16>;
+
+/// First message of each side on a new connection, sent at once and without waiting for the other's.
+struct Hello {
+    Endpoint endpoint;
+    BootId boot;
+    Nonce nonce {};
+    /// What the sender is able to speak; both sides must name the same.
+    uint32_t protocol { 0 };
+};
+
+/// Second message of each side, sent under the connection's own keys once the other's Hello has come. It proves that
+/// the sender lives now and knows the shared secret, and ties its clock to the receiver's.
+struct Ready {
+    /// The sender's BootClock when it sent this.
+    Duration sentAt { 0 };
+};
+
+/// Asks for a Pong, so that a silent connection is noticed.
+struct Ping {
+    uint64_t sequence { 0 };
+};
+
+struct Pong {
+    uint64_t sequence { 0 };
+    /// The sender's BootClock when it sent this; ties it to the receiver's anew.
+    Duration sentAt { 0 };
+};
+
 // --- Rates (over TCP) ---------------------------------------------------------------------------------------------
 
 /// In place of a quota slot: the pull goes to the account's home, which passes on what it has pooled.
@@ -161,7 +217,8 @@
     bool operator==(const ServerAnnouncement&) const = default;
 };
 
-/// What one node says of itself, as others pass it on.
+/// What one node says of itself, as others pass it on. An update with an empty zone tells the state only: zone, servers
+/// and quota slots are those of the version and boot that it names.
 struct MemberUpdate {
     Endpoint endpoint;
     ZoneName zone;
@@ -187,6 +244,7 @@
 
 /// Are you there? Sent to the receiver itself, or on behalf of somebody who got no answer.
 struct Probe {
+    /// 0 when no acknowledgement is wanted: the message then only spreads what it carries.
     uint64_t sequence { 0 };
     /// Empty, or the member to probe for the sender.
     Endpoint target;
@@ -202,7 +260,8 @@
     std::vector<MemberUpdate> updates;
 };
 
-/// Hash of everything the sender knows about each bucket of members, for finding what was missed.
+/// Hash of everything the sender knows about each bucket of members, for finding what was missed. Each number holds the
+/// hashes of two buckets.
 struct MemberDigest {
     std::vector<uint64_t> buckets;
     /// Whether the receiver should answer with its own.
@@ -229,12 +288,19 @@
 /// Asks a peer for the list of sections of an accepted configuration.
 struct SectionListRequest {
     uint64_t number { 0 };
+    /// Number of the configuration that the asker holds, so that only the difference has to be told; 0 for none.
+    uint64_t base { 0 };
 };
 
 struct SectionList {
     uint64_t number { 0 };
     uint64_t contentHash { 0 };
+    /// Every section, or with a base those that are new or changed since.
     std::vector<SectionReference> sections;
+    /// 0, or the asker's number that the list is a difference from.
+    uint64_t base { 0 };
+    /// Names of the base's sections that are gone.
+    std::vector<std::string> removed;
 };
 
 /// Asks a peer for sections by their content.
@@ -254,7 +320,16 @@
 using ControlMessage = std::variant<QuotaPull, QuotaGrant, Probe, ProbeAcknowledgement, MemberDigest, MemberBuckets,
     SectionListRequest, SectionList, SectionRequest, SectionReply>;
 
+/// Messages on a connection between two nodes. Order is part of the protocol: append only.
+using StreamMessage = std::variant<Hello, Ready, Ping, Pong, OpenRequest, AnswerHead, Refusal, BodyChunk, BodyCredit,
+    CancelRequest, VerdictQuery, VerdictReply, ControlMessage>;
+
 /// Whether a message goes as one datagram; the others go over a connection.
 bool isDatagram(const ControlMessage&);
 
+/// Bytes of an update as encoded; a controller fills its datagrams by it.
+size_t estimatedSize(const MemberUpdate&);
+/// Bytes of a whole message as encoded, with its header and MAC.
+size_t estimatedSize(const ControlMessage&);
+
 } // namespace Vanillaridge
