--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -49,9 +49,9 @@
     /// Longest wait for the answer to one call.
     Duration timeout { seconds(2) };
     /// This node's own limit on calls to the platform.
-    double callsPerSecond { 2 };
+    double callsPerSecond { 4 };
     /// Calls that may be made at once after a quiet time.
-    double callBurst { 20 };
+    double callBurst { 100 };
 };
 
 /// Bounds on what callers can make a node hold.
