--- a/src/verdict/GuardLedger.cpp
+++ b/src/verdict/GuardLedger.cpp
@@ -36,19 +36,28 @@
 
 void GuardLedger::release(size_t records) { m_remembered.fetch_sub(records, std::memory_order_relaxed); }
 
+// Why an open request of this age is not taken. One that is older than our memory may be a repeat of an attempt that
+// ran and is forgotten, so nothing can be said about it.
+Reason GuardLedger::refusalForAge(Duration age, Duration remaining) const
+{
+    if (age >= m_limits.finishedMemory)
+        return Reason::Timeout;
+    if (age >= m_limits.maximumOpenAge)
+        return Reason::MessageTooOld;
+    return remaining <= age ? Reason::DeadlineExceeded : Reason::None;
+}
+
 Reason GuardLedger::accept(const OpenRequest& message, const Hello& sender, const PeerClock& senderClock)
 {
-    // 1. Refuse what is not the sender's, was meant for an earlier run of this node, or has no room.
+    // 1. Refuse what is not the sender's. Of what was meant for an earlier run of this node nothing is known.
     const auto& context = message.context;
     if (!isOwn(context.attempt, sender))
         return Reason::BadRequest;
     if (message.guard != m_board.self().boot)
-        return Reason::MessageTooOld;
-    if (!reserve())
-        return Reason::MemoryFull;
+        return Reason::ConnectionLost;
 
-    // 2. Enter it, unless it was on its way for too long or is known: repeated, or barred before it came. Its age is
-    // taken under the lock, so that it cannot grow between the check and the entry.
+    // 2. Enter it, unless it is known: repeated, or barred before it came. One that is refused is entered as barred, so
+    // that a repeat of it is refused as well. Its age is taken under the lock, so that it cannot grow in between.
     Instant now;
     Instant deadline;
     const Reason refusal = m_board.verdicts().with(context.attempt, [&](auto& map) {
@@ -57,18 +66,18 @@
             return known->second.state == AttemptState::Barred ? Reason::Barred : Reason::Duplicate;
         now = m_clock.now();
         const Duration age = senderClock.ageBound(message.sentAt, now);
-        if (age >= m_limits.maximumOpenAge)
-            return Reason::MessageTooOld;
-        if (context.remaining <= age)
-            return Reason::DeadlineExceeded;
+        const Reason reason = refusalForAge(age, context.remaining);
+        if (reason == Reason::Timeout)
+            return reason;
+        if (!reserve())
+            return Reason::MemoryFull;
         deadline = now + context.remaining - age;
-        map.emplace(context.attempt, VerdictRecord { AttemptState::Waiting, deadline, {}, false });
-        return Reason::None;
+        const auto state = reason == Reason::None ? AttemptState::Waiting : AttemptState::Barred;
+        map.emplace(context.attempt, VerdictRecord { state, deadline, now + barredMemory(), false });
+        return reason;
     });
-    if (refusal != Reason::None) {
-        release(1);
+    if (refusal != Reason::None)
         return refusal;
-    }
 
     // 3. Let others see what waits here.
     m_board.attempts().update(context.attempt, [&](AttemptRecord& attempt) {
--- a/src/verdict/PeerClock.cpp
+++ b/src/verdict/PeerClock.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-    // Two clocks of the fleet run apart by less than this share of the time that passes: 500 parts in a million, which
-    // is what the system's clocks are slewed by at most.
-    constexpr Duration::rep driftDivisor = 2000;
+    // Two clocks of the fleet run apart by less than this share of the time that passes: each is slewed by at most 500
+    // parts in a million.
+    constexpr Duration::rep driftDivisor = 1000;
 
     // How far two clocks may have run apart in this time.
     Duration drift(Duration passed) { return Duration(std::abs(passed.count()) / driftDivisor); }
--- a/src/verdict/Verdict.h
+++ b/src/verdict/Verdict.h
@@ -52,8 +52,8 @@
 
     /// Takes in a request, before anything else is decided about it. None if it was taken. Duplicate if it waits or has
     /// started already: nothing is to be sent, since its first message will be answered. Otherwise why it must be
-    /// refused, as not started. Each attempt is taken at most once. Whoever decides to refuse it later must bar() it
-    /// before telling so.
+    /// refused; the reason's outcome tells whether it may be called not started. Each attempt is taken at most once.
+    /// Whoever decides to refuse it later must bar() it before telling so.
     /// \param sender the other end of the connection; only an attempt of its own requests is taken
     /// \param senderClock that connection's, which bounds the message's age
     Reason accept(const OpenRequest&, const Hello& sender, const PeerClock& senderClock);
@@ -85,6 +85,7 @@
 private:
     VerdictKind stop(const AttemptId&, bool cancelled);
     VerdictKind judge(const VerdictQuery&, const PeerClock&);
+    Reason refusalForAge(Duration age, Duration remaining) const;
     bool reserve();
     void release(size_t records);
     Duration barredMemory() const;
