--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -78,6 +78,9 @@
     Sharded<ServiceName, ServerGroup>& servers();
     /// Backend servers that announced themselves here, by service.
     Sharded<ServiceName, LocalServerRecord>& localServers();
+    /// Shed levels told by answers, by route and account.
+    Sharded<FlowKey, ShedRecord>& shedRecords();
+    Sharded<RouteName, RouteCallsRecord>& routeCalls();
     Sharded<RequestId, EntryRecord>& entries();
     Sharded<AttemptId, AttemptRecord>& attempts();
     Sharded<AttemptId, VerdictRecord>& verdicts();
@@ -86,9 +89,12 @@
     Outbox& outbox();
     Counters& counters();
 
-    /// Whether this node is leaving: it takes no new requests and gives up its duties.
+    /// Whether this node is leaving: its backend servers are announced as draining, and it gives up its duties.
     bool draining() const;
     void startDraining();
+    /// Whether it has been leaving for long enough that others know: it takes no new attempts.
+    bool refusesAttempts() const;
+    void startRefusingAttempts();
 
 private:
     struct Facts;
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -19,13 +19,17 @@
     Instant lastHeard;
 };
 
+/// Ranks a member for a duty by rendezvous hashing: the live members with the highest scores have it, and a member that
+/// comes or goes moves no duty but its own.
+inline uint64_t dutyScore(NodeId member, uint64_t duty) { return mixHash(member.value, duty); }
+
 // --- Backend servers ----------------------------------------------------------------------------------------------
 
 /// One backend server: the service it belongs to, and the node beside it.
 struct ServerKey {
     NodeId node;
     ServiceName service;
-    auto operator<=>(const ServerKey&) const = default;
+    auto operator<=>(const ServerKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A backend server that requests may be sent to, and what answers from it have told.
@@ -41,6 +45,8 @@
     /// Failures in a row, and until when the server is set aside for them.
     uint32_t failures { 0 };
     Instant setAsideUntil;
+    /// Times it has been set aside since it last did well.
+    uint32_t setAsides { 0 };
 };
 
 using ServerGroup = std::map<NodeId, ServerRecord>;
@@ -53,6 +59,30 @@
     Duration term { 0 };
 };
 
+// --- Load further down --------------------------------------------------------------------------------------------
+
+/// Requests that share a shed level: those of one account on one route.
+struct FlowKey {
+    RouteName route;
+    AccountName account;
+    auto operator<=>(const FlowKey&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// The shed level that answers to a flow's requests have told, smoothed over the servers they came from.
+struct ShedRecord {
+    double level { 0 };
+    Instant at;
+    /// Requests let through and shed since the level rose from 0, with decay.
+    double passed { 0 };
+    double shed { 0 };
+};
+
+/// Which routes the requests of one route go on to call, counted with decay.
+struct RouteCallsRecord {
+    double requests { 0 };
+    std::map<RouteName, double> calls;
+};
+
 // --- Running requests ---------------------------------------------------------------------------------------------
 
 /// What a request waits for at the node where it entered.
@@ -95,7 +125,12 @@
     Instant deadline;
     /// The request whose backend server made this call; nothing for a caller's.
     std::optional<RequestId> parent;
+    /// Retries spent so far, here and by calls further down.
     uint32_t retriesUsed { 0 };
+    /// Of those, the ones that the latest attempt spent further down.
+    uint32_t retriesBelow { 0 };
+    /// Tries after the first made here.
+    uint32_t retriesHere { 0 };
     /// Whether the body can be sent once more.
     bool bodyReplayable { true };
     EntryState state { EntryState::Decided };
@@ -136,7 +171,7 @@
 struct DuplicateKey {
     uint64_t high { 0 };
     uint64_t low { 0 };
-    auto operator<=>(const DuplicateKey&) const = default;
+    auto operator<=>(const DuplicateKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A request that came with an idempotency key.
@@ -153,16 +188,33 @@
 
 /// What is known of how fresh the configuration in force is.
 struct FreshnessRecord {
-    /// Highest number heard of, and its content.
+    /// Highest number heard of.
     uint64_t newestNumber { 0 };
-    uint64_t newestContentHash { 0 };
+    /// Content hash of the configuration in force.
+    uint64_t contentHash { 0 };
     /// When somebody read that number from the platform, as far as this node knows.
     Instant confirmedAt;
     bool platformReachable { false };
+    /// A member that has the newest number, to fetch it from.
+    Endpoint newestFrom;
+    /// Since when a newer configuration than the one in force has been known; the epoch when there is none.
+    Instant behindSince;
+    /// When this node started, or came back from its latest pause.
+    Instant resumedAt;
+    /// Share of the known members that can be reached, from 0 to 1, as far as probes tell.
+    double reachableShare { 0 };
+    /// Whether a member has answered since resumedAt, or there is none to answer.
+    bool viewRefreshed { false };
 };
 
 } // namespace Vanillaridge
 
+template <> struct std::hash<Vanillaridge::FlowKey> {
+    size_t operator()(const Vanillaridge::FlowKey& key) const noexcept
+    {
+        return Vanillaridge::mixHash(std::hash<std::string>()(key.route), std::hash<std::string>()(key.account));
+    }
+};
 template <> struct std::hash<Vanillaridge::DuplicateKey> {
     size_t operator()(const Vanillaridge::DuplicateKey& key) const noexcept { return key.low; }
 };
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -56,6 +56,14 @@
 /// Version to expect of an object that does not exist yet.
 constexpr uint64_t absentVersion = 0;
 
+/// Name of the object that holds the manifest, as operators wrote it.
+constexpr std::string_view manifestObject = "manifest";
+/// Name of the object that holds the version of the manifest as decimal digits. Whoever writes the manifest writes the
+/// head after it, and is done only then.
+constexpr std::string_view manifestHeadObject = "manifest-head";
+/// Name of the object that tells what became of the manifest.
+constexpr std::string_view manifestStatusObject = "status/manifest";
+
 /// The platform's object API.
 class Platform {
 public:
