--- a/src/platformclient/PlatformClient.h
+++ b/src/platformclient/PlatformClient.h
@@ -14,9 +14,6 @@
 
 namespace Vanillaridge {
 
-/// Name of the object that holds the manifest.
-constexpr std::string_view manifestObject = "manifest";
-
 /// The platform over HTTP. Calls run on the given io_context, on whichever of its threads is free; they may still be
 /// under way when this object goes, so whatever the callbacks refer to must outlive the io_context's run.
 ///
