--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -29,7 +29,7 @@
 struct ServerKey {
     NodeId node;
     ServiceName service;
-    auto operator<=>(const ServerKey&) const = default;
+    auto operator<=>(const ServerKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A backend server that requests may be sent to, and what answers from it have told.
@@ -65,7 +65,7 @@
 struct FlowKey {
     RouteName route;
     AccountName account;
-    auto operator<=>(const FlowKey&) const = default;
+    auto operator<=>(const FlowKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// The shed level that answers to a flow's requests have told, smoothed over the servers they came from.
@@ -171,7 +171,7 @@
 struct DuplicateKey {
     uint64_t high { 0 };
     uint64_t low { 0 };
-    auto operator<=>(const DuplicateKey&) const = default;
+    auto operator<=>(const DuplicateKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A request that came with an idempotency key.
