Measure the amplification of retries at depth 1 to 7

Cause: the bound on retries was proved on trees of decisions, not measured beside its baseline. Ruled out: load near the capacity, where shedding hides retries. Before: no figure.

--- a/bench/OverloadBench.cpp
+++ b/bench/OverloadBench.cpp
@@ -22,6 +22,19 @@
     }
 }
 
+// Attempts at the last tier for each request that a caller sends, with and without budgets.
+void printRetries()
+{
+    std::printf("\n== Retries\n  %-44s %8s %10s\n", "", "budget", "no budget");
+    for (const auto& overload : retryCases()) {
+        const double bounded = runOverload(overload, { .name = "budget" }).amplification;
+        const double unbounded
+            = runOverload(overload, { .name = "no budget", .retry = RetryStrategy::NoBudget }).amplification;
+        std::printf("  %-44s %8.2f %10.2f\n", overload.name.c_str(), bounded, unbounded);
+        std::fflush(stdout);
+    }
+}
+
 } // namespace
 
 // usage: OverloadBench [part of a case's name] [only the first so many contestants]
@@ -31,6 +44,8 @@
     auto entrants = contestants();
     if (argc > 2)
         entrants.resize(std::min(entrants.size(), size_t(std::atoi(argv[2]))));
+    if (wanted.empty() || wanted == "retries")
+        printRetries();
     for (const auto deployment : { Deployment::SaengChai, Deployment::Altai }) {
         std::printf(
             "\n== %s\n", deployment == Deployment::SaengChai ? "Saeng Chai (fairness first)" : "Altai (goodput first)");
