--- a/bench/FakeFleet.h
+++ b/bench/FakeFleet.h
@@ -2,38 +2,9 @@
 /// services through them. Events stand in for messages; there is no more of a cluster than the controllers can see.
 #pragma once
 
-#include "EventQueue.h"
-
-#include "admission/Admission.h"
-#include "placement/Placement.h"
-#include "retry/Retry.h"
-
-#include <deque>
-#include <map>
-
+#include "FakeNode.h"
 namespace Vanillaridge {
 
-/// One service of the chain.
-struct Tier {
-    uint32_t servers { 4 };
-    uint32_t slots { 100 };
-    /// Mean own work of a request at this tier.
-    Duration work { milliseconds(10) };
-};
-
-/// Strategies and settings of one run.
-struct FleetSettings {
-    std::vector<Tier> tiers;
-    uint32_t zones { 4 };
-    Duration zoneDelay { microseconds(500) };
-    OverloadPolicy policy { OverloadPolicy::FairnessFirst };
-    AdmissionStrategy admission { AdmissionStrategy::Adaptive };
-    PlacementStrategy placement { PlacementStrategy::TwoChoices };
-    EdgeShedding edge { EdgeShedding::On };
-    RetryStrategy retry { RetryStrategy::Budget };
-    uint64_t seed { 1 };
-};
-
 /// What a whole request came to.
 struct TreeEnd {
     bool served { false };
@@ -148,37 +119,7 @@
     };
     using TreePointer = std::shared_ptr<Tree>;
     using Reply = std::function<void(Reason, uint32_t retriesUsed)>;
-    struct Waiting {
-        std::function<void()> start;
-        std::function<void(Reason)> refuse;
-    };
-    struct Node {
-        Node(Identity identity, EventQueue& events, const FleetSettings& settings, uint64_t seed)
-            : random(makeSeededRandom(seed))
-            , board(std::move(identity))
-            , admission(board, events.clock(), *random, settings.admission)
-            , placement(board, events.clock(), *random, settings.placement, settings.edge)
-            , retry(board, events.clock(), *random, settings.retry)
-        {
-        }
-
-        std::unique_ptr<RandomSource> random;
-        Board board;
-        Admission admission;
-        Placement placement;
-        Retry retry;
-        uint32_t tier { 0 };
-        uint32_t index { 0 };
-        uint32_t zone { 0 };
-        uint64_t generation { 1 };
-        double slowness { 1 };
-        bool lies { false };
-        bool silent { false };
-        std::map<AttemptId, Waiting> waiting;
-        // The backend server: its slots, and those that it queues itself.
-        uint32_t working { 0 };
-        std::deque<std::function<void()>> queued;
-    };
+    using Node = FakeNode;
     // One attempt of a call, on its way.
     struct Call {
         TreePointer tree;
