--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -23,7 +23,8 @@
     {
         if (!isWhole(update))
             return false;
-        return update.boot == held.boot ? update.version > held.version : update.incarnation > held.incarnation;
+        return update.boot == held.boot ? update.version > held.version
+                                        : update.incarnation.value > held.incarnation.value;
     }
 
     void takeContent(const MemberUpdate& update, MemberUpdate& held)
@@ -44,10 +45,20 @@
         held.quotaSlots.clear();
     }
 
+    // Whether the member has to settle which of its lives is the present one: it restarted with an incarnation that was
+    // not higher than the one before.
+    bool isConflict(const MemberUpdate& update, bool isOwnWord, const MemberUpdate& held)
+    {
+        if (update.boot == held.boot || !isLive(update.state))
+            return false;
+        const auto older = update.incarnation.value < held.incarnation.value;
+        return update.incarnation.value == held.incarnation.value || (older && isOwnWord);
+    }
+
     // The state that an update leads to. Within one incarnation the states only get worse.
     std::optional<MemberState> nextState(const MemberUpdate& update, const MemberUpdate& held)
     {
-        const auto newer = update.incarnation > held.incarnation;
+        const auto newer = update.incarnation.value > held.incarnation.value;
         if (!newer && update.state <= held.state)
             return std::nullopt;
         // One half of a fleet that was cut in two brings its deaths to the other: whoever they are said of gets the
@@ -142,7 +153,7 @@
     });
 }
 
-Merged MemberTable::merge(const MemberUpdate& update, Instant now)
+Merged MemberTable::merge(const MemberUpdate& update, bool isOwnWord, Instant now)
 {
     const auto id = NodeId::of(update.endpoint);
     const auto known = state(id);
@@ -157,13 +168,15 @@
     auto merged = Merged::Nothing;
     apply(id, [&](MemberRecord& record) {
         auto& held = record.said;
-        if (update.incarnation < held.incarnation)
+        if (isConflict(update, isOwnWord, held))
+            merged = Merged::Conflict;
+        if (merged == Merged::Conflict || update.incarnation.value < held.incarnation.value)
             return;
         const auto next = nextState(update, held);
         if (bringsContent(update, held)) {
             takeContent(update, held);
             merged = Merged::Content;
-        } else if (update.incarnation > held.incarnation && update.boot != held.boot) {
+        } else if (update.incarnation.value > held.incarnation.value && update.boot != held.boot) {
             startUnknownLife(update, held);
         }
         held.incarnation = update.incarnation;
