--- a/src/manifest/Fields.cpp
+++ b/src/manifest/Fields.cpp
@@ -1,5 +1,7 @@
 #include "manifest/Fields.h"
 
+#include "quota/Quota.h"
+
 #include <algorithm>
 
 namespace Vanillaridge {
@@ -61,13 +63,11 @@
         return std::string(overloadNames[static_cast<size_t>(policy.overload)]);
     }
 
-    // Strategies of rate limiting, by the names that the quota library gives them.
-    constexpr std::array<std::string_view, 3> quotaNames { "conserved", "leased-owner", "static-split" };
-
     bool readQuota(Policy& policy, std::string_view text)
     {
         policy.quota = text;
-        return std::find(quotaNames.begin(), quotaNames.end(), text) != quotaNames.end();
+        const auto names = quotaStrategyNames();
+        return std::find(names.begin(), names.end(), text) != names.end();
     }
 
     std::string writeQuota(const Policy& policy) { return policy.quota; }
@@ -107,7 +107,8 @@
         { "overload", ConvertedText<Policy> { readOverload, writeOverload, "\"fairness-first\" or \"goodput-first\"" },
             { 0, longestName }, "overload = \"fairness-first\"" },
         { "quota",
-            ConvertedText<Policy> { readQuota, writeQuota, "\"conserved\", \"leased-owner\" or \"static-split\"" },
+            ConvertedText<Policy> {
+                readQuota, writeQuota, "\"conserved\", \"conserved-home\", \"leased-owner\" or \"static-split\"" },
             { 0, longestName }, "quota = \"conserved\"" },
         { "retry-fraction", &Policy::retryFraction, { 0, 1 }, "retry-fraction = 0.1" },
         { "maximum-depth", &Policy::maximumDepth, { 1, 64 }, "maximum-depth = 8" },
--- a/tests/ManifestTests.cpp
+++ b/tests/ManifestTests.cpp
@@ -1,4 +1,5 @@
 // libraries: manifest
+#include "manifest/Fields.h"
 #include "manifest/Manifest.h"
 
 #include <algorithm>
@@ -211,6 +212,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(GivenThePageOnConfiguration)
+
+BOOST_AUTO_TEST_CASE(ThenItHasARowForEveryField)
+{
+    const auto page = readExample("../docs/CONFIGURATION.md");
+    const auto check = [&](const auto& fields) {
+        for (const auto& field : fields) {
+            const auto row = "\n| `" + std::string(field.name) + "` |";
+            BOOST_TEST(page.find(row) != std::string::npos, "no row for " << field.name);
+        }
+    };
+    check(accountFields());
+    check(routeFields());
+    check(serviceFields());
+    check(policyFields());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(GivenGeneratedDeclarations)
 
 BOOST_AUTO_TEST_CASE(ThenTheirSectionsReadBackTheSame)
--- a/tests/SettingsTests.cpp
+++ b/tests/SettingsTests.cpp
@@ -1,4 +1,5 @@
 // libraries: settings
+#include "settings/Fields.h"
 #include "settings/Settings.h"
 
 #include <algorithm>
@@ -111,3 +112,26 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenThePageOnConfiguration)
+
+BOOST_AUTO_TEST_CASE(ThenItHasARowForEveryField)
+{
+    std::ifstream file(std::string(VANILLARIDGE_EXAMPLES) + "/../docs/CONFIGURATION.md");
+    const std::string page { std::istreambuf_iterator<char>(file), {} };
+    const auto check = [&](const auto& fields) {
+        for (const auto& field : fields) {
+            const auto row = "\n| `" + std::string(field.name) + "` |";
+            BOOST_TEST(page.find(row) != std::string::npos, "no row for " << field.name);
+        }
+    };
+    check(addressFields());
+    check(nodeFields());
+    check(secretFields());
+    check(platformFields());
+    check(limitFields());
+    check(quotaFields());
+    check(membershipFields());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
