Carry all fields of quota messages, and show plain numbers in status tables

Cause: two fields had been added to quota messages and not to their encoding, so nothing built ("only 5 names provided for structured binding"). The status table printed 0 as "0E0".

After: the wire tests pass; the table shows "0" and "114.858".

--- a/src/app/StatusCommand.cpp
+++ b/src/app/StatusCommand.cpp
@@ -19,6 +19,8 @@
     {
         if (value.is_string())
             return value.get_string().c_str();
+        if (value.is_double())
+            return fmt::format("{:.6g}", value.get_double());
         if (value.is_array()) {
             std::string text;
             for (const auto& entry : value.get_array())
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -128,14 +128,14 @@
 
 template <typename Archive> void serialize(Archive& archive, QuotaPull& message)
 {
-    auto& [pull, account, slot, wanted, configuration] = message;
-    archive(pull, account, slot, wanted, configuration);
+    auto& [pull, account, slot, wanted, least, configuration] = message;
+    archive(pull, account, slot, wanted, least, configuration);
 }
 
 template <typename Archive> void serialize(Archive& archive, QuotaGrant& message)
 {
-    auto& [pull, account, tokens, lifetime, retryAfter] = message;
-    archive(pull, account, tokens, lifetime, retryAfter);
+    auto& [pull, account, tokens, lifetime, left, retryAfter] = message;
+    archive(pull, account, tokens, lifetime, left, retryAfter);
 }
 
 template <typename Archive> void serialize(Archive& archive, ServerAnnouncement& announcement)
