--- a/src/messages/Size.cpp
+++ b/src/messages/Size.cpp
@@ -53,11 +53,14 @@
         return sum(news.number, news.contentHash, news.confirmedAgo, news.platformReachable);
     }
 
-    size_t sizeOf(const QuotaPull& pull) { return sum(pull.pull, pull.account, pull.wanted, pull.configuration); }
+    size_t sizeOf(const QuotaPull& pull)
+    {
+        return sum(pull.pull, pull.account, pull.slot, pull.wanted, pull.least, pull.configuration);
+    }
 
     size_t sizeOf(const QuotaGrant& grant)
     {
-        return sum(grant.pull, grant.account, grant.tokens, grant.lifetime, grant.retryAfter);
+        return sum(grant.pull, grant.account, grant.tokens, grant.lifetime, grant.left, grant.retryAfter);
     }
 
     size_t sizeOf(const Probe& probe) { return sum(probe.sequence, probe.target, probe.news, probe.updates); }
