Survive a planned stop, and tell nodes of a new manifest at once

Cause: a node asked to stop crashed in its log line: GCC 12 mishandles an initializer_list made inside a coroutine. And apply wrote the manifest without its head, so nodes found it by a periodic read only. Ruled out: the order of destruction (the trace ends in drain(), before anything is destroyed). Before: exit code 139 on SIGTERM, 20 requests failed. Conclusion: log lines are made in plain functions; apply writes manifest-head after manifest.

--- a/src/apply/Apply.cpp
+++ b/src/apply/Apply.cpp
@@ -40,6 +40,15 @@
         }
 
         ApplyOutcome run(std::optional<uint64_t> expectedVersion)
+        {
+            const auto outcome = update(expectedVersion);
+            if (outcome.end == ApplyEnd::Applied || outcome.end == ApplyEnd::Unchanged)
+                tellHead(outcome.version);
+            return outcome;
+        }
+
+    private:
+        ApplyOutcome update(std::optional<uint64_t> expectedVersion)
         {
             // 1. What is there?
             const auto present = read();
@@ -62,7 +71,22 @@
             return { m_mayHaveArrived ? ApplyEnd::Unknown : ApplyEnd::NotApplied, present->version, {} };
         }
 
-    private:
+        // Nodes look at the head only, so it must name the new version. Where it can't be written the nodes that watch
+        // find the manifest by themselves, later.
+        void tellHead(uint64_t version)
+        {
+            for (int i = 0; i < mostTries; ++i) {
+                const auto head = m_access.get(manifestHeadObject);
+                const bool known = head || head.error() == PlatformError::NotFound;
+                if (head && manifestHeadFromText(head.value().value).value_or(0) >= version)
+                    return;
+                const auto expected = head ? head.value().version : absentVersion;
+                if (known && m_access.put(manifestHeadObject, manifestHeadText(version), expected))
+                    return;
+                m_access.pause(pauseBetweenTries);
+            }
+        }
+
         // What a failed try means; nothing when it should be tried again.
         std::optional<ApplyOutcome> after(PlatformError error)
         {
--- a/src/dissemination/Dissemination.cpp
+++ b/src/dissemination/Dissemination.cpp
@@ -4,17 +4,6 @@
 
 namespace Vanillaridge {
 
-std::string manifestHeadText(uint64_t version) { return std::to_string(version); }
-
-std::optional<uint64_t> manifestHeadFromText(std::string_view text)
-{
-    uint64_t version = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
-    if (error != std::errc() || end != text.data() + text.size() || version == 0)
-        return std::nullopt;
-    return version;
-}
-
 Dissemination::State::State(Board& board, const Clock& clock, RandomSource& random, Platform& platform,
     const ManifestCodec& codec, DisseminationSettings settings)
     : board(board)
--- a/src/dissemination/Dissemination.h
+++ b/src/dissemination/Dissemination.h
@@ -36,11 +36,6 @@
     virtual CheckedManifest assemble(std::span<const ConfigurationSection>) const = 0;
 };
 
-/// The head's value for a version of the manifest.
-std::string manifestHeadText(uint64_t version);
-/// Reads what manifestHeadText wrote; nothing when the text is malformed.
-std::optional<uint64_t> manifestHeadFromText(std::string_view);
-
 struct DisseminationSettings {
     /// Members of each zone that watch the platform.
     uint32_t watchersPerZone { 2 };
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -110,6 +110,11 @@
         return found == serverRequests.end() ? nullptr : &*found;
     }
 
+    void reportNews(std::string_view event, std::string_view service)
+    {
+        log(LogLevel::Info, event, { { "service", service } });
+    }
+
     // A whole small body; nothing when it is too long or does not come.
     Task<std::optional<std::string>> readSmallBody(HttpExchange& exchange)
     {
@@ -152,7 +157,7 @@
     const bool applied = request->apply(m_parts.control.localServers, *announcement);
     const bool changed = applied && !(known && request->needsWhole);
     if (changed && !request->event.empty())
-        log(LogLevel::Info, request->event, { { "service", announcement->service } });
+        reportNews(request->event, announcement->service);
     auto reply = applied ? textReply(200, "application/json", "{}\n")
                          : textReply(404, "application/json", "{\"problem\":\"not announced\"}\n");
     co_await exchange->reply(std::move(reply));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -59,6 +59,8 @@
         void join();
         Task<void> awaitStop();
         Task<void> drain();
+        void beginLeaving();
+        void reportDrainLimit();
         Task<bool> awaitLastRequest();
         Task<void> pause(Duration);
         bool idle();
@@ -197,6 +199,20 @@
         co_return true;
     }
 
+    void Node::beginLeaving()
+    {
+        log(LogLevel::Info, "node-draining");
+        m_board.startDraining();
+        m_control.quota.release();
+    }
+
+    void Node::reportDrainLimit()
+    {
+        m_end = NodeEnd::DrainLimitReached;
+        log(LogLevel::Warning, "drain-limit-reached",
+            { { "entries", m_board.entries().size() }, { "attempts", m_board.attempts().size() } });
+    }
+
     // A planned stop: first the others hear of it while everything goes on, then nothing new is taken, and what runs is
     // waited for.
     Task<void> Node::drain()
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -340,6 +340,11 @@
 
 namespace {
 
+    void reportFailure(const std::exception& error)
+    {
+        log(LogLevel::Error, "request-handler-failed", { { "error", error.what() } });
+    }
+
     // The stream ends with its handler, however that ends.
     Task<void> serveStream(
         std::shared_ptr<PeerContext> peers, MessageStreamPointer stream, OpenRequest request, PeerClock clock)
@@ -347,7 +352,7 @@
         try {
             co_await peers->handler.serve(stream, std::move(request), clock);
         } catch (const std::exception& error) {
-            log(LogLevel::Error, "request-handler-failed", { { "error", error.what() } });
+            reportFailure(error);
         }
         stream->close();
     }
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -61,6 +61,10 @@
 /// Name of the object that holds the version of the manifest as decimal digits. Whoever writes the manifest writes the
 /// head after it, and is done only then.
 constexpr std::string_view manifestHeadObject = "manifest-head";
+/// The head's value for a version of the manifest.
+std::string manifestHeadText(uint64_t version);
+/// Reads what manifestHeadText wrote; nothing when the text is malformed.
+std::optional<uint64_t> manifestHeadFromText(std::string_view);
 /// Name of the object that tells what became of the manifest.
 constexpr std::string_view manifestStatusObject = "status/manifest";
 
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr std::chrono::seconds startLimit(60);
+    constexpr size_t quotaSlots = 64;
     constexpr std::string_view sharedSecret = "a secret that only this test knows";
 
     std::string freeEndpoint() { return fmt::format("127.0.0.1:{}", freePort()); }
@@ -79,6 +80,13 @@
     return parseObject(callHttp(m_operators, { "GET", "/status", {}, {} }).body);
 }
 
+size_t FleetNode::heldSlots() const
+{
+    const auto now = status();
+    const auto* quota = now.if_contains("quota");
+    return quota ? quota->at("heldSlots").as_array().size() : 0;
+}
+
 double FleetNode::metric(const std::string& name) const
 {
     const auto text = "\n" + callHttp(m_operators, { "GET", "/metrics", {}, {} }).body;
@@ -152,14 +160,25 @@
         node->startServer();
     }
 
-    // 2. Until every node knows every backend server.
-    return everyNode(
-        [&](FleetNode& node) {
-            const auto status = node.status();
-            const auto* known = status.if_contains("servers");
-            return node.ready() && known && known->as_array().size() == serverCount();
+    // 2. Until every quota slot has a holder.
+    const bool slotsHeld = eventually(
+        [&] {
+            size_t held = 0;
+            for (const auto& node : m_nodes)
+                held += node->heldSlots();
+            return held == quotaSlots;
         },
         startLimit);
+
+    // 3. Until every node knows every backend server.
+    return slotsHeld
+        && everyNode(
+            [&](FleetNode& node) {
+                const auto status = node.status();
+                const auto* known = status.if_contains("servers");
+                return node.ready() && known && known->as_array().size() == serverCount();
+            },
+            startLimit);
 }
 
 size_t Fleet::serverCount() const
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -109,6 +109,7 @@
     bool hasServer() const { return !m_options.service.empty(); }
     bool ready() const;
     boost::json::object status() const;
+    size_t heldSlots() const;
     // A sample of the metrics page by its whole name with labels; 0 when there is none.
     double metric(const std::string& name) const;
     // What the backend server began to work on, as its stand-in remembers it.
