--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -218,19 +218,14 @@
     Task<void> Node::drain()
     {
         // 1. Announce it. Duties that others can take up are given up at once.
-        log(LogLevel::Info, "node-draining");
-        m_board.startDraining();
-        m_control.quota.release();
+        beginLeaving();
         co_await pause(announcementTime);
 
         // 2. Take nothing new; connections end with the reply they carry.
         m_board.startRefusingAttempts();
         m_callers.drain();
-        if (!co_await awaitLastRequest()) {
-            m_end = NodeEnd::DrainLimitReached;
-            log(LogLevel::Warning, "drain-limit-reached",
-                { { "entries", m_board.entries().size() }, { "attempts", m_board.attempts().size() } });
-        }
+        if (!co_await awaitLastRequest())
+            reportDrainLimit();
 
         // 3. Say goodbye.
         m_control.membership.leave();
