--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -58,9 +58,9 @@
         bool listen();
         void join();
         Task<void> awaitStop();
-        Task<void> drain();
         void beginLeaving();
-        void reportDrainLimit();
+        void stopTaking();
+        void sayGoodbye(bool idle);
         Task<bool> awaitLastRequest();
         Task<void> pause(Duration);
         bool idle();
@@ -169,11 +169,18 @@
         return m_end;
     }
 
+    // A planned stop, from the signal to the end.
     Task<void> Node::awaitStop()
     {
         boost::system::error_code ignored;
         co_await m_signals.async_wait(redirect_error(use_awaitable, ignored));
-        co_await drain();
+        beginLeaving();
+        co_await pause(announcementTime);
+        stopTaking();
+        const bool idle = co_await awaitLastRequest();
+        sayGoodbye(idle);
+        co_await pause(farewellTime);
+        m_peers.stop();
         m_duties.stop();
         m_context.stop();
     }
@@ -199,6 +206,7 @@
         co_return true;
     }
 
+    // Others hear of it while everything goes on. Duties that others can take up are given up at once.
     void Node::beginLeaving()
     {
         log(LogLevel::Info, "node-draining");
@@ -206,31 +214,21 @@
         m_control.quota.release();
     }
 
-    void Node::reportDrainLimit()
+    // Nothing new is taken; connections end with the reply they carry.
+    void Node::stopTaking()
     {
-        m_end = NodeEnd::DrainLimitReached;
-        log(LogLevel::Warning, "drain-limit-reached",
-            { { "entries", m_board.entries().size() }, { "attempts", m_board.attempts().size() } });
-    }
-
-    // A planned stop: first the others hear of it while everything goes on, then nothing new is taken, and what runs is
-    // waited for.
-    Task<void> Node::drain()
-    {
-        // 1. Announce it. Duties that others can take up are given up at once.
-        beginLeaving();
-        co_await pause(announcementTime);
-
-        // 2. Take nothing new; connections end with the reply they carry.
         m_board.startRefusingAttempts();
         m_callers.drain();
-        if (!co_await awaitLastRequest())
-            reportDrainLimit();
+    }
 
-        // 3. Say goodbye.
+    void Node::sayGoodbye(bool idle)
+    {
+        if (!idle) {
+            m_end = NodeEnd::DrainLimitReached;
+            log(LogLevel::Warning, "drain-limit-reached",
+                { { "entries", m_board.entries().size() }, { "attempts", m_board.attempts().size() } });
+        }
         m_control.membership.leave();
-        co_await pause(farewellTime);
-        m_peers.stop();
     }
 
 } // namespace
