Start coroutines from plain functions, with their owners as parameters

Cause: nodes with two threads corrupted their heap under load. The thread sanitizer showed an owner released twice: GCC 12 copies a lambda that captures a shared_ptr without counting it when the lambda is made inside a coroutine. Ruled out: Boost's channels (replaced before; the crash stayed), the backend pool. Before: crash after some thousand requests.

--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -49,15 +49,20 @@
         co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
         if (m_stopped || running.exchange(true))
             continue;
-        m_arena.execute([&] {
-            m_tasks.run([this, tick, &running] {
-                (this->*tick)();
-                running = false;
-            });
-        });
+        run(tick, running);
     }
 }
 
+void Duties::run(void (Duties::*tick)(), std::atomic<bool>& running)
+{
+    m_arena.execute([&] {
+        m_tasks.run([this, tick, &running] {
+            (this->*tick)();
+            running = false;
+        });
+    });
+}
+
 void Duties::tickControllers()
 {
     auto& control = m_parts.control;
--- a/src/node/Duties.h
+++ b/src/node/Duties.h
@@ -20,6 +20,7 @@
 
 private:
     Task<void> repeat(Duration period, void (Duties::*tick)(), std::atomic<bool>& running);
+    void run(void (Duties::*tick)(), std::atomic<bool>& running);
     void tickControllers();
     void tickAdmission();
     void reportChanges();
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -140,6 +140,13 @@
     co_return Reason::None;
 }
 
+// Temporaries with owners in them are made in plain functions: see the developers' page.
+QuotaDecision EntryRequest::askQuota(const std::shared_ptr<Mailbox<QuotaDecision>>& answer)
+{
+    return m_parts.control.quota.take(
+        m_decision.context.account, [answer](const QuotaDecision& decided) { answer->put(decided); });
+}
+
 void EntryRequest::open()
 {
     std::optional<RequestId> parent;
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -34,6 +34,7 @@
     Task<Reason> passGates();
     Reason claimIdempotencyKey();
     Task<Reason> takeToken();
+    QuotaDecision askQuota(const std::shared_ptr<Mailbox<QuotaDecision>>&);
     void open();
     void watch();
 
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -63,8 +63,7 @@
     m_parts.board.attempts().visit(id(), [&](const AttemptRecord& record) { m_deadline = record.deadline; });
 
     // 2. What the entry sends meanwhile is read on the side.
-    boost::asio::co_spawn(
-        m_strand, [self] { return self->readMessages(); }, boost::asio::detached);
+    startReading();
     watchDeadline();
     co_await serveAccepted();
 
@@ -79,6 +78,12 @@
     }
 }
 
+// Temporaries with owners in them are made in plain functions: see the developers' page.
+void GuardAttempt::startReading()
+{
+    boost::asio::co_spawn(m_strand, readMessages(shared_from_this()), boost::asio::detached);
+}
+
 Task<void> GuardAttempt::serveAccepted()
 {
     // 1. A backend server beside this node.
@@ -121,14 +126,7 @@
 {
     // 1. Ready to be told before the offer, since the decision may come from another thread at once.
     auto& control = m_parts.control;
-    control.waiters.add(id(),
-        [decided = m_admissionDecided, weak = weak_from_this(), strand = m_strand](const AdmissionDecision& decision) {
-            boost::asio::post(strand, [decided, weak, decision] {
-                if (const auto self = weak.lock())
-                    self->m_admission = decision;
-                decided->set();
-            });
-        });
+    awaitDecision();
     m_admission = control.admission.offer(context(), m_deadline);
 
     // 2. Waiting ends with a decision, or because nobody waits for the answer any more.
@@ -146,6 +144,18 @@
     co_return AdmissionDecision { AdmissionVerdict::Refused, m_cancelled, Duration(0) };
 }
 
+void GuardAttempt::awaitDecision()
+{
+    m_parts.control.waiters.add(id(),
+        [decided = m_admissionDecided, weak = weak_from_this(), strand = m_strand](const AdmissionDecision& decision) {
+            boost::asio::post(strand, [decided, weak, decision] {
+                if (const auto self = weak.lock())
+                    self->m_admission = decision;
+                decided->set();
+            });
+        });
+}
+
 // Frees the slot, and starts whoever has waited for it.
 void GuardAttempt::endAdmission(AdmittedEnd end)
 {
@@ -175,12 +185,8 @@
     }
     m_startedAt = m_parts.clock.now();
     if (co_await m_call->writeHead(headForBackend())) {
-        if (m_open.hasBody) {
-            m_sendingBody = true;
-            m_stream->grantCredit(startedBodyCredit);
-            boost::asio::co_spawn(
-                m_strand, [self = shared_from_this()] { return self->sendBody(); }, boost::asio::detached);
-        }
+        if (m_open.hasBody)
+            startSendingBody();
         co_await passAnswer();
     } else {
         endAdmission(AdmittedEnd::Failed);
@@ -189,6 +195,13 @@
     m_parts.control.guardLedger.finish(id());
 }
 
+void GuardAttempt::startSendingBody()
+{
+    m_sendingBody = true;
+    m_stream->grantCredit(startedBodyCredit);
+    boost::asio::co_spawn(m_strand, sendBody(shared_from_this()), boost::asio::detached);
+}
+
 RequestHead GuardAttempt::headForBackend() const
 {
     RequestHead head { m_open.method, m_open.target, m_open.headers, m_open.hasBody, m_open.contentLength };
@@ -253,9 +266,10 @@
 // --- The request's body ---------------------------------------------------------------------------------------------
 
 // Writes pieces as they come, and makes room for as many more.
-Task<void> GuardAttempt::sendBody()
+Task<void> GuardAttempt::sendBody(std::shared_ptr<GuardAttempt> self) { co_await self->writePieces(); }
+
+Task<void> GuardAttempt::writePieces()
 {
-    const auto self = shared_from_this();
     bool going = true;
     while (going && !m_ended) {
         if (m_pieces.empty()) {
@@ -274,9 +288,10 @@
 
 // --- What the entry sends -------------------------------------------------------------------------------------------
 
-Task<void> GuardAttempt::readMessages()
+Task<void> GuardAttempt::readMessages(std::shared_ptr<GuardAttempt> self) { co_await self->takeMessages(); }
+
+Task<void> GuardAttempt::takeMessages()
 {
-    const auto self = shared_from_this();
     while (!m_ended) {
         auto message = co_await m_stream->receive();
         if (!message) {
--- a/src/node/GuardAttempt.h
+++ b/src/node/GuardAttempt.h
@@ -23,8 +23,13 @@
     Task<void> callBackend(const Endpoint&);
     Task<void> passAnswer();
     Task<bool> passAnswerBody();
-    Task<void> sendBody();
-    Task<void> readMessages();
+    void awaitDecision();
+    void startReading();
+    void startSendingBody();
+    static Task<void> sendBody(std::shared_ptr<GuardAttempt>);
+    Task<void> writePieces();
+    static Task<void> readMessages(std::shared_ptr<GuardAttempt>);
+    Task<void> takeMessages();
     void take(StreamMessage);
     void watchDeadline();
     void cancel(Reason);
--- a/src/node/GuardFlow.cpp
+++ b/src/node/GuardFlow.cpp
@@ -7,12 +7,21 @@
 
 namespace Vanillaridge {
 
+namespace {
+
+    Task<void> runAttempt(std::shared_ptr<GuardAttempt> attempt, PeerClock senderClock)
+    {
+        co_await attempt->run(senderClock);
+    }
+
+} // namespace
+
 Task<void> GuardFlow::serve(MessageStreamPointer stream, OpenRequest open, PeerClock senderClock)
 {
     const auto strand = boost::asio::make_strand(m_parts.context);
     const auto attempt = std::make_shared<GuardAttempt>(m_parts, strand, std::move(stream), std::move(open));
-    co_await boost::asio::co_spawn(
-        strand, [attempt, senderClock] { return attempt->run(senderClock); }, boost::asio::use_awaitable);
+    auto running = runAttempt(attempt, senderClock);
+    co_await boost::asio::co_spawn(strand, std::move(running), boost::asio::use_awaitable);
 }
 
 VerdictReply GuardFlow::verdict(const VerdictQuery& query, const Hello& sender, const PeerClock& senderClock)
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -21,9 +21,7 @@
 void RequestBody::startSending(MessageStreamPointer stream)
 {
     m_sending = true;
-    boost::asio::co_spawn(
-        m_exchange->strand(), [self = shared_from_this(), stream = std::move(stream)] { return self->send(stream); },
-        boost::asio::detached);
+    boost::asio::co_spawn(m_exchange->strand(), run(shared_from_this(), std::move(stream)), boost::asio::detached);
 }
 
 Task<void> RequestBody::join()
@@ -33,9 +31,13 @@
         co_await m_ended.wait();
 }
 
+Task<void> RequestBody::run(std::shared_ptr<RequestBody> self, MessageStreamPointer stream)
+{
+    co_await self->send(stream);
+}
+
 Task<void> RequestBody::send(MessageStreamPointer stream)
 {
-    const auto self = shared_from_this();
     bool open = co_await resend(*stream);
     while (open && !m_complete)
         open = co_await readAndSend(*stream);
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -23,6 +23,7 @@
     Task<void> join();
 
 private:
+    static Task<void> run(std::shared_ptr<RequestBody>, MessageStreamPointer);
     Task<void> send(MessageStreamPointer);
     Task<bool> resend(MessageStream&);
     Task<bool> readAndSend(MessageStream&);
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -83,9 +83,25 @@
 
 // --- Beginning ------------------------------------------------------------------------------------------------------
 
-Task<void> Connection::connect(Endpoint endpoint)
+void Connection::startConnecting(Endpoint endpoint)
+{
+    boost::asio::co_spawn(m_strand, runConnect(shared_from_this(), std::move(endpoint)), boost::asio::detached);
+}
+
+void Connection::startAccepting()
+{
+    boost::asio::co_spawn(m_strand, runAccept(shared_from_this()), boost::asio::detached);
+}
+
+Task<void> Connection::runConnect(std::shared_ptr<Connection> self, Endpoint endpoint)
+{
+    co_await self->connect(endpoint);
+}
+
+Task<void> Connection::runAccept(std::shared_ptr<Connection> self) { co_await self->accept(); }
+
+Task<void> Connection::connect(const Endpoint& endpoint)
 {
-    const auto self = shared_from_this();
     const auto colon = endpoint.rfind(':');
     ErrorCode error;
     const auto address = boost::asio::ip::make_address(endpoint.substr(0, colon), error);
@@ -97,7 +113,7 @@
     if (!error && co_await shakeHands() && peer().endpoint == endpoint) {
         m_peers->board.counters().add(Counter::PeerConnectionsOpened);
         becomeReady();
-        boost::asio::co_spawn(m_strand, watch(), boost::asio::detached);
+        startWatching();
         co_await readMessages();
     }
     becomeLost();
@@ -105,10 +121,9 @@
 
 Task<void> Connection::accept()
 {
-    const auto self = shared_from_this();
     if (co_await shakeHands()) {
         becomeReady();
-        boost::asio::co_spawn(m_strand, watch(), boost::asio::detached);
+        startWatching();
         co_await readMessages();
     }
     becomeLost();
@@ -409,9 +424,12 @@
 
 // An open connection can go silent for good while new ones work, so one that requests wait on is pinged, and given up
 // when no answer comes. One that nobody uses is closed.
-Task<void> Connection::watch()
+void Connection::startWatching() { boost::asio::co_spawn(m_strand, watch(shared_from_this()), boost::asio::detached); }
+
+Task<void> Connection::watch(std::shared_ptr<Connection> self) { co_await self->keepWatch(); }
+
+Task<void> Connection::keepWatch()
 {
-    const auto self = shared_from_this();
     const auto& settings = m_peers->settings;
     while (m_state.load() == State::Ready) {
         m_watchTimer.expires_after(watchPeriod);
@@ -465,15 +483,15 @@
     }
     m_peers->board.counters().add(Counter::PeerMessagesSent);
     if (startWriting)
-        boost::asio::co_spawn(
-            m_strand, [self = shared_from_this()] { return self->write(); }, boost::asio::detached);
+        boost::asio::co_spawn(m_strand, write(shared_from_this()), boost::asio::detached);
     return true;
 }
 
 // Writes what is pending until nothing is; messages that come meanwhile go together in the next write.
-Task<void> Connection::write()
+Task<void> Connection::write(std::shared_ptr<Connection> self) { co_await self->writePending(); }
+
+Task<void> Connection::writePending()
 {
-    const auto self = shared_from_this();
     std::string writing;
     while (true) {
         {
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -38,9 +38,9 @@
     explicit Connection(std::shared_ptr<PeerContext>);
 
     /// Connects and shakes hands, then reads until the connection ends.
-    Task<void> connect(Endpoint);
+    void startConnecting(Endpoint);
     /// Shakes hands on a connection that was accepted, then reads until it ends.
-    Task<void> accept();
+    void startAccepting();
     /// Whether the connection is ready for messages, waiting for it if it is still being made.
     Task<bool> ready();
 
@@ -51,7 +51,6 @@
     /// Closes the socket; streams are told.
     void close();
 
-    const Strand& strand() const { return m_strand; }
     bool lost() const { return m_state.load() == State::Lost; }
     const Hello& peer() const { return m_session->peer(); }
 
@@ -59,13 +58,20 @@
     enum class State : uint8_t { Connecting, Ready, Lost };
     using Waiter = Event;
 
+    static Task<void> runConnect(std::shared_ptr<Connection>, Endpoint);
+    static Task<void> runAccept(std::shared_ptr<Connection>);
+    Task<void> connect(const Endpoint&);
+    Task<void> accept();
     Task<bool> shakeHands();
     Task<std::optional<Frame>> readFrame();
     Task<bool> fill(size_t bytes);
     Task<std::optional<Hello>> readHello();
     Task<void> readMessages();
-    Task<void> watch();
-    Task<void> write();
+    void startWatching();
+    static Task<void> watch(std::shared_ptr<Connection>);
+    Task<void> keepWatch();
+    static Task<void> write(std::shared_ptr<Connection>);
+    Task<void> writePending();
     void handle(Frame);
     void handle(uint64_t stream, OpenRequest);
     void handle(uint64_t stream, const VerdictQuery&);
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -64,6 +64,8 @@
     void sendDatagram(const OutgoingMessage&);
     Task<void> sendControl(OutgoingMessage);
     std::shared_ptr<Connection> connectionTo(const Endpoint&);
+    void startServing(const MessageStreamPointer&);
+    void startClosing(const std::shared_ptr<Connection>&);
     Task<void> closeAfter(std::shared_ptr<Connection>, Duration);
 
     std::shared_ptr<PeerContext> peers;
@@ -170,8 +172,7 @@
             std::erase_if(incoming, [](const auto& weak) { return weak.expired(); });
             incoming.push_back(connection);
         }
-        boost::asio::co_spawn(
-            strand, [connection] { return connection->accept(); }, boost::asio::detached);
+        connection->startAccepting();
     }
 }
 
@@ -271,26 +272,35 @@
             present = made = std::make_shared<Connection>(peers);
         return present;
     });
-    if (made) {
-        boost::asio::co_spawn(
-            made->strand(), [made, endpoint] { return made->connect(endpoint); }, boost::asio::detached);
-    }
+    if (made)
+        made->startConnecting(endpoint);
     return connection;
 }
 
+namespace {
+
+    Task<void> serveLocal(std::shared_ptr<PeerContext> peers, MessageStreamPointer stream)
+    {
+        auto first = co_await stream->receive();
+        if (auto* request = first ? std::get_if<OpenRequest>(&*first) : nullptr)
+            co_await peers->handler.serve(stream, std::move(*request), ownClock(peers->clock));
+        stream->close();
+    }
+
+} // namespace
+
+// Temporaries with owners in them are made in plain functions: see the developers' page.
+void PeerTransport::Implementation::startServing(const MessageStreamPointer& stream)
+{
+    boost::asio::co_spawn(boost::asio::make_strand(peers->context), serveLocal(peers, stream), boost::asio::detached);
+}
+
 Task<MessageStreamPointer> PeerTransport::open(Endpoint endpoint)
 {
     const auto self = m_implementation;
     if (endpoint == self->peers->board.self().endpoint) {
         const auto [entry, guard] = makeLocalStreams(self->peers->hello());
-        boost::asio::co_spawn(
-            boost::asio::make_strand(self->peers->context),
-            [](std::shared_ptr<PeerContext> peers, MessageStreamPointer stream) -> Task<void> {
-                auto first = co_await stream->receive();
-                if (auto* request = first ? std::get_if<OpenRequest>(&*first) : nullptr)
-                    co_await peers->handler.serve(stream, std::move(*request), ownClock(peers->clock));
-            }(self->peers, guard),
-            boost::asio::detached);
+        self->startServing(guard);
         co_return entry;
     }
     const auto connection = self->connectionTo(endpoint);
@@ -309,6 +319,12 @@
     connection->close();
 }
 
+void PeerTransport::Implementation::startClosing(const std::shared_ptr<Connection>& connection)
+{
+    boost::asio::co_spawn(
+        peers->context, closeAfter(connection, 2 * peers->settings.connectTimeout), boost::asio::detached);
+}
+
 Task<std::optional<VerdictReply>> PeerTransport::askVerdict(Endpoint endpoint, VerdictQuery query)
 {
     // 1. The judge of what ran here is this node itself.
@@ -318,10 +334,8 @@
 
     // 2. A connection of its own: the one that the request went by may be the fault.
     const auto connection = std::make_shared<Connection>(self->peers);
-    boost::asio::co_spawn(
-        connection->strand(), [connection, endpoint] { return connection->connect(endpoint); }, boost::asio::detached);
-    boost::asio::co_spawn(self->peers->context, self->closeAfter(connection, 2 * self->peers->settings.connectTimeout),
-        boost::asio::detached);
+    connection->startConnecting(endpoint);
+    self->startClosing(connection);
     const bool ready = co_await connection->ready();
     const auto stream = connection->openStream();
     if (!ready || !stream || !stream->send(query))
--- a/tests/ProcessTests.cpp
+++ b/tests/ProcessTests.cpp
@@ -62,10 +62,17 @@
     return text;
 }
 
-// Answered at least once: tokens and servers are there.
+// Answered several times in a row: tokens and servers are there.
 bool warm(FleetNode& node, const std::string& service)
 {
-    return eventually([&] { return callHttp(node.callers(), read(service)).status == 200; });
+    constexpr int inARow = 20;
+    return eventually([&] {
+        for (int i = 0; i < inARow; ++i) {
+            if (callHttp(node.callers(), read(service)).status != 200)
+                return false;
+        }
+        return true;
+    });
 }
 
 } // namespace
--- a/tests/fleet/Processes.cpp
+++ b/tests/fleet/Processes.cpp
@@ -80,25 +80,34 @@
     return true;
 }
 
-// Bound and closed again: the kernel gives ports of its own choice in turn, so it is not given away at once. The port
-// must be free for UDP too.
-uint16_t freePort()
-{
-    for (;;) {
-        const int tcp = ::socket(AF_INET, SOCK_STREAM, 0);
-        const int udp = ::socket(AF_INET, SOCK_DGRAM, 0);
+namespace {
+
+    // Below the ports that the kernel gives to outgoing connections, which could otherwise take one meanwhile.
+    constexpr uint32_t firstPort = 12'000;
+    constexpr uint32_t portCount = 20'000;
+
+    bool canBind(int type, uint16_t port)
+    {
+        const int socket = ::socket(AF_INET, type, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
+        address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        const auto* generic = reinterpret_cast<const sockaddr*>(&address);
-        bool free = ::bind(tcp, generic, sizeof(address)) == 0
-            && ::getsockname(tcp, reinterpret_cast<sockaddr*>(&address), &size) == 0;
-        free = free && ::bind(udp, generic, sizeof(address)) == 0;
-        ::close(tcp);
-        ::close(udp);
-        if (free)
-            return ntohs(address.sin_port);
+        const bool bound = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+        ::close(socket);
+        return bound;
+    }
+
+} // namespace
+
+// Test programs that run at once begin at different ports. A port must be free for TCP and for UDP.
+uint16_t freePort()
+{
+    static uint32_t s_next = static_cast<uint32_t>(::getpid()) * 101;
+    for (;;) {
+        const auto port = static_cast<uint16_t>(firstPort + s_next++ % portCount);
+        if (canBind(SOCK_STREAM, port) && canBind(SOCK_DGRAM, port))
+            return port;
     }
 }
 
