Read endpoints, open acceptors and read frames in one place each

Cause: Peer, Connection and HttpServer each had their own copy, and the two in peer took a malformed port for 0. Ruled out: calling the settings' splitEndpoint from transports (it would turn the layers around). Before: four copies of the parsing, two of the opening, two of the frame reading. Conclusion: behaviour as before, but that a malformed port is now refused; settings refuse it earlier.

--- /dev/null
+++ b/src/address/Address.cpp
@@ -0,0 +1,24 @@
+#include "address/Address.h"
+
+#include <charconv>
+
+namespace Vanillaridge {
+
+std::optional<boost::asio::ip::tcp::endpoint> tcpEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    auto host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']'))
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(host, error);
+    uint16_t port = 0;
+    const auto [stop, badPort] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (error || badPort != std::errc() || stop != text.data() + text.size())
+        return std::nullopt;
+    return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+} // namespace Vanillaridge
--- a/src/http/HttpMessages.cpp
+++ b/src/http/HttpMessages.cpp
@@ -1,7 +1,6 @@
 #include "http/HttpMessages.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace Vanillaridge {
 
@@ -24,23 +23,6 @@
 
 std::string_view RequestHead::path() const { return std::string_view(target).substr(0, target.find('?')); }
 
-std::optional<Tcp::endpoint> tcpEndpoint(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    auto host = text.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']'))
-        host = host.substr(1, host.size() - 2);
-    ErrorCode error;
-    const auto address = boost::asio::ip::make_address(host, error);
-    uint16_t port = 0;
-    const auto [stop, badPort] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    if (error || badPort != std::errc() || stop != text.data() + text.size())
-        return std::nullopt;
-    return Tcp::endpoint(address, port);
-}
-
 bool isHopByHop(std::string_view name)
 {
     return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(),
--- a/src/http/HttpMessages.h
+++ b/src/http/HttpMessages.h
@@ -1,6 +1,7 @@
 /// Translations between the library's types and Beast's, and body reading that both sides of HTTP share.
 #pragma once
 
+#include "address/Address.h"
 #include "http/Http.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,9 +22,6 @@
 using TcpSocket = boost::asio::basic_stream_socket<Tcp, Strand>;
 using ErrorCode = boost::system::error_code;
 
-/// Reads "address:port"; nothing when the text is no endpoint.
-std::optional<Tcp::endpoint> tcpEndpoint(std::string_view);
-
 /// Whether a header belongs to one connection and is never passed on.
 bool isHopByHop(std::string_view name);
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -408,14 +408,7 @@
     if (!address)
         return HttpError::BadEndpoint;
     auto& acceptor = m_implementation->acceptor;
-    ErrorCode error;
-    acceptor.open(address->protocol(), error);
-    if (!error)
-        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(*address, error);
-    if (!error)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    const auto error = openAcceptor(acceptor, *address);
     if (error)
         return error == boost::asio::error::address_in_use ? HttpError::AddressInUse : HttpError::Other;
     boost::asio::co_spawn(acceptor.get_executor(), m_implementation->accept(), boost::asio::detached);
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -1,5 +1,6 @@
 #include "peer/Connection.h"
 
+#include "address/Address.h"
 #include "log/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -102,13 +103,11 @@
 
 Task<void> Connection::connect(const Endpoint& endpoint)
 {
-    const auto colon = endpoint.rfind(':');
-    ErrorCode error;
-    const auto address = boost::asio::ip::make_address(endpoint.substr(0, colon), error);
-    if (!error) {
-        const auto port = static_cast<uint16_t>(std::atoi(endpoint.c_str() + colon + 1));
+    const auto address = tcpEndpoint(endpoint);
+    ErrorCode error = boost::asio::error::invalid_argument;
+    if (address) {
         m_stream.expires_after(m_peers->settings.connectTimeout);
-        co_await m_stream.async_connect(Tcp::endpoint(address, port), redirect_error(use_awaitable, error));
+        co_await m_stream.async_connect(*address, redirect_error(use_awaitable, error));
     }
     if (!error && co_await shakeHands() && peer().endpoint == endpoint) {
         m_peers->board.counters().add(Counter::PeerConnectionsOpened);
@@ -277,40 +276,50 @@
             });
     }
 
-    using HeaderBytes = std::span<const std::byte, frameHeaderSize>;
-
 } // namespace
 
-Task<std::optional<Hello>> Connection::readHello()
+// Reads until a whole frame is there; the length of its payload, or nothing when none comes.
+Task<std::optional<size_t>> Connection::fillFrame()
 {
     if (!co_await fill(frameHeaderSize))
         co_return std::nullopt;
-    auto& board = m_peers->board;
-    const auto length
-        = counted<size_t>(board, [&] { return payloadSize(HeaderBytes(&m_input[m_inputStart], frameHeaderSize)); });
+    const auto length = counted<size_t>(m_peers->board, [&] { return payloadSize(frameHeader()); });
     if (!length || !co_await fill(frameHeaderSize + *length))
         co_return std::nullopt;
-    const HeaderBytes header(&m_input[m_inputStart], frameHeaderSize);
-    const Bytes payload(&m_input[m_inputStart + frameHeaderSize], *length);
-    auto hello = counted<Hello>(board, [&] { return m_peers->authenticator.openHello(header, payload); });
-    m_inputStart += frameHeaderSize + *length;
-    co_return hello;
+    co_return length;
 }
 
-Task<std::optional<Frame>> Connection::readFrame()
+std::span<const std::byte, frameHeaderSize> Connection::frameHeader() const
 {
-    if (!co_await fill(frameHeaderSize))
+    return std::span<const std::byte, frameHeaderSize>(&m_input[m_inputStart], frameHeaderSize);
+}
+
+// The payload of the frame that is there, which counts as read from now on; its bytes stay until the next reading.
+Bytes Connection::takePayload(size_t length)
+{
+    const Bytes payload(&m_input[m_inputStart + frameHeaderSize], length);
+    m_inputStart += frameHeaderSize + length;
+    return payload;
+}
+
+Task<std::optional<Hello>> Connection::readHello()
+{
+    const auto length = co_await fillFrame();
+    if (!length)
         co_return std::nullopt;
-    auto& board = m_peers->board;
-    const auto length
-        = counted<size_t>(board, [&] { return payloadSize(HeaderBytes(&m_input[m_inputStart], frameHeaderSize)); });
-    if (!length || !co_await fill(frameHeaderSize + *length))
+    const auto header = frameHeader();
+    const auto payload = takePayload(*length);
+    co_return counted<Hello>(m_peers->board, [&] { return m_peers->authenticator.openHello(header, payload); });
+}
+
+Task<std::optional<Frame>> Connection::readFrame()
+{
+    const auto length = co_await fillFrame();
+    if (!length)
         co_return std::nullopt;
-    const HeaderBytes header(&m_input[m_inputStart], frameHeaderSize);
-    const Bytes payload(&m_input[m_inputStart + frameHeaderSize], *length);
-    auto frame = counted<Frame>(board, [&] { return m_session->open(header, payload); });
-    m_inputStart += frameHeaderSize + *length;
-    co_return frame;
+    const auto header = frameHeader();
+    const auto payload = takePayload(*length);
+    co_return counted<Frame>(m_peers->board, [&] { return m_session->open(header, payload); });
 }
 
 Task<void> Connection::readMessages()
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -63,6 +63,9 @@
     Task<void> connect(const Endpoint&);
     Task<void> accept();
     Task<bool> shakeHands();
+    Task<std::optional<size_t>> fillFrame();
+    std::span<const std::byte, frameHeaderSize> frameHeader() const;
+    Bytes takePayload(size_t length);
     Task<std::optional<Frame>> readFrame();
     Task<bool> fill(size_t bytes);
     Task<std::optional<Hello>> readHello();
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -1,5 +1,6 @@
 #include "peer/Peer.h"
 
+#include "address/Address.h"
 #include "log/Log.h"
 #include "peer/Connection.h"
 
@@ -20,18 +21,6 @@
 
     constexpr Duration acceptPause = milliseconds(50);
 
-    std::optional<Tcp::endpoint> addressOf(const Endpoint& endpoint)
-    {
-        const auto colon = endpoint.rfind(':');
-        if (colon == std::string::npos)
-            return std::nullopt;
-        ErrorCode error;
-        const auto address = boost::asio::ip::make_address(endpoint.substr(0, colon), error);
-        if (error)
-            return std::nullopt;
-        return Tcp::endpoint(address, static_cast<uint16_t>(std::atoi(endpoint.c_str() + colon + 1)));
-    }
-
     // A node's own messages are stamped by the clock that reads them.
     PeerClock ownClock(const Clock& clock)
     {
@@ -90,17 +79,10 @@
 
 std::optional<PeerError> PeerTransport::Implementation::bind()
 {
-    const auto address = addressOf(peers->board.self().endpoint);
+    const auto address = tcpEndpoint(peers->board.self().endpoint);
     if (!address)
         return PeerError::BadEndpoint;
-    ErrorCode error;
-    acceptor.open(address->protocol(), error);
-    if (!error)
-        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(*address, error);
-    if (!error)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    auto error = openAcceptor(acceptor, *address);
     if (error)
         return peerErrorOf(error);
     const Udp::endpoint udpAddress(address->address(), address->port());
@@ -215,7 +197,7 @@
 
 void PeerTransport::Implementation::sendDatagram(const OutgoingMessage& outgoingMessage)
 {
-    const auto address = addressOf(outgoingMessage.to);
+    const auto address = tcpEndpoint(outgoingMessage.to);
     if (!address)
         return;
     const auto& self = peers->board.self();
