Give the holders' directory a name of its own

Two classes named Directory stood in dissemination and quota. Both are linked into the node, so the linker kept one set of member functions for both: the node's quota ran the constructor of dissemination, or the other way round.

--- a/src/quota/Directory.cpp
+++ b/src/quota/HolderDirectory.cpp
@@ -1,4 +1,4 @@
-#include "quota/Directory.h"
+#include "quota/HolderDirectory.h"
 
 namespace Vanillaridge {
 
@@ -9,7 +9,8 @@
 
 } // namespace
 
-Directory::Directory(Board& board, uint32_t slots, Instant now, Duration handoverDelay, const Directory* before)
+HolderDirectory::HolderDirectory(
+    Board& board, uint32_t slots, Instant now, Duration handoverDelay, const HolderDirectory* before)
     : m_self(board.self().id())
     , m_holders(slots)
     , m_preferred(slots)
@@ -26,7 +27,7 @@
 }
 
 // Suspects still count: a false suspicion must not move slots.
-void Directory::readMembers(Board& board)
+void HolderDirectory::readMembers(Board& board)
 {
     if (!board.draining())
         m_candidates.push_back({ m_self, board.self().endpoint });
@@ -45,7 +46,7 @@
 }
 
 // Rendezvous hashing over the live members; left as it was while they are the same.
-void Directory::preferNodes(const Directory* before)
+void HolderDirectory::preferNodes(const HolderDirectory* before)
 {
     if (before && before->m_fingerprint == m_fingerprint && before->m_candidates.size() == m_candidates.size()) {
         m_preferred = before->m_preferred;
@@ -55,7 +56,7 @@
         m_preferred[slot] = best(mixHash(slotSalt, slot)).node;
 }
 
-const Directory::Candidate& Directory::best(uint64_t key) const
+const HolderDirectory::Candidate& HolderDirectory::best(uint64_t key) const
 {
     size_t found = 0;
     uint64_t heaviest = 0;
@@ -69,7 +70,7 @@
     return m_candidates[found];
 }
 
-Endpoint Directory::home(uint64_t accountHash) const
+Endpoint HolderDirectory::home(uint64_t accountHash) const
 {
     if (m_candidates.empty())
         return {};
--- a/src/quota/Directory.h
+++ b/src/quota/HolderDirectory.h
@@ -6,9 +6,9 @@
 namespace Vanillaridge {
 
 /// One reading of the members. Never changes once built.
-class Directory {
+class HolderDirectory {
 public:
-    Directory(Board&, uint32_t slots, Instant now, Duration handoverDelay, const Directory* before);
+    HolderDirectory(Board&, uint32_t slots, Instant now, Duration handoverDelay, const HolderDirectory* before);
 
     /// Other live members that say they hold the slot.
     std::span<const Endpoint> holders(uint32_t slot) const { return m_holders[slot]; }
@@ -27,7 +27,7 @@
 
     const Candidate& best(uint64_t key) const;
     void readMembers(Board&);
-    void preferNodes(const Directory* before);
+    void preferNodes(const HolderDirectory* before);
 
     NodeId m_self;
     uint64_t m_fingerprint { 0 };
--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -28,7 +28,7 @@
 {
 }
 
-void Pools::adopt(PlansPointer plans, DirectoryPointer directory)
+void Pools::adopt(PlansPointer plans, HolderDirectoryPointer directory)
 {
     std::lock_guard guard(m_lock);
     m_plans = std::move(plans);
@@ -42,7 +42,7 @@
     return m_plans;
 }
 
-Pools::DirectoryPointer Pools::directory()
+Pools::HolderDirectoryPointer Pools::directory()
 {
     std::lock_guard guard(m_lock);
     return m_directory;
--- a/src/quota/Pools.h
+++ b/src/quota/Pools.h
@@ -1,7 +1,7 @@
 /// Tokens of each account at this node, the pulls that fetch more, and the requests that wait for them.
 #pragma once
 
-#include "quota/Directory.h"
+#include "quota/HolderDirectory.h"
 #include "quota/Slots.h"
 
 #include <deque>
@@ -15,12 +15,12 @@
 class Pools {
 public:
     using PlansPointer = std::shared_ptr<const QuotaPlans>;
-    using DirectoryPointer = std::shared_ptr<const Directory>;
+    using HolderDirectoryPointer = std::shared_ptr<const HolderDirectory>;
 
     Pools(Board&, Clock&, RandomSource&, const QuotaSettings&, Slots&);
 
     /// What the pools go by from now on.
-    void adopt(PlansPointer, DirectoryPointer);
+    void adopt(PlansPointer, HolderDirectoryPointer);
 
     QuotaDecision take(std::string_view account, QuotaCallback);
     void giveBack(std::string_view account, const QuotaDecision&);
@@ -136,7 +136,7 @@
     void sweep(Instant now);
     void finish(const AccountName&, Effects&);
     PlansPointer plans();
-    DirectoryPointer directory();
+    HolderDirectoryPointer directory();
 
     Board& m_board;
     Clock& m_clock;
@@ -147,7 +147,7 @@
     std::atomic<uint64_t> m_generation { 0 };
     std::mutex m_lock;
     PlansPointer m_plans;
-    DirectoryPointer m_directory;
+    HolderDirectoryPointer m_directory;
     /// Accounts with requests that wait or pulls under way.
     std::vector<AccountName> m_listed;
     Instant m_sweptAt { Instant::min() };
--- a/src/quota/Quota.cpp
+++ b/src/quota/Quota.cpp
@@ -36,7 +36,7 @@
     std::mutex lock;
     ConfigurationPointer configuration;
     std::shared_ptr<const QuotaPlans> plans;
-    std::shared_ptr<const Directory> directory;
+    std::shared_ptr<const HolderDirectory> directory;
     Instant membersReadAt { Instant::min() };
     Instant leasesAdvancedAt { Instant::min() };
     std::atomic<bool> ready { false };
@@ -58,7 +58,8 @@
     if (directory && now - membersReadAt < directoryInterval)
         return;
     membersReadAt = now;
-    directory = std::make_shared<const Directory>(board, settings.slots, now, settings.handoverDelay, directory.get());
+    directory
+        = std::make_shared<const HolderDirectory>(board, settings.slots, now, settings.handoverDelay, directory.get());
 }
 
 // Brings plans and members up to date, and hands them to the pools.
@@ -75,7 +76,7 @@
 void Quota::Parts::advanceLeases(Instant now)
 {
     std::shared_ptr<const QuotaPlans> currentPlans;
-    std::shared_ptr<const Directory> members;
+    std::shared_ptr<const HolderDirectory> members;
     {
         std::lock_guard guard(lock);
         if (!plans || (leasesAdvancedAt != Instant::min() && now - leasesAdvancedAt < leaseInterval))
