Log what decided each request, bounded and without blocking

One line at the entry and one at the guard for each request that failed, and for one in 128 of the others by a hash of the caller's id, so that all nodes keep the same ones; 50 a second at most.

--- a/src/dialect/Dialect.h
+++ b/src/dialect/Dialect.h
@@ -15,8 +15,6 @@
     std::optional<Duration> remaining;
     /// How important the caller holds it.
     std::optional<Importance> importance;
-    /// The caller's own name for the request, for logs; empty when it gave none.
-    std::string_view label;
 };
 
 /// What a refusal tells its caller.
@@ -57,6 +55,8 @@
     // --- Callers ---
 
     virtual CallerTerms callerTerms(const RequestHead&) const = 0;
+    /// The caller's own name for its request, for logs; empty when it gave none.
+    virtual std::string_view labelIn(std::span<const HeaderField>) const = 0;
     virtual SimpleReply refusal(const RefusalTerms&) const = 0;
 
     // --- Backend servers ---
@@ -93,6 +93,8 @@
 constexpr std::string_view outcomeHeader = "Vanillaridge-Outcome";
 constexpr std::string_view reasonHeader = "Vanillaridge-Reason";
 
+/// First header of that name, compared without case; empty when there is none.
+std::string_view headerIn(std::span<const HeaderField>, std::string_view name);
 /// The key of an Authorization header with the Bearer scheme; nothing when there is none.
 std::optional<std::string_view> bearerKey(const RequestHead&);
 /// A header that is a whole number of milliseconds; nothing when it is missing or malformed.
--- a/src/dialect/OwnDialect.cpp
+++ b/src/dialect/OwnDialect.cpp
@@ -66,9 +66,11 @@
         CallerTerms callerTerms(const RequestHead& head) const override
         {
             return { bearerKey(head), millisecondsIn(head, remainingHeader),
-                importanceFromText(head.header(importanceHeader)), {} };
+                importanceFromText(head.header(importanceHeader)) };
         }
 
+        std::string_view labelIn(std::span<const HeaderField>) const override { return {}; }
+
         // Retry-After counts whole seconds, so the exact time goes along in a header of our own.
         SimpleReply refusal(const RefusalTerms& terms) const override
         {
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -1,7 +1,10 @@
 #include "node/EntryRequest.h"
 
+#include "log/Log.h"
+
 #include <algorithm>
 #include <cctype>
+#include <fmt/format.h>
 
 namespace Vanillaridge {
 
@@ -36,6 +39,12 @@
 {
     const auto self = shared_from_this();
     m_parts.board.counters().add(Counter::RequestsReceived);
+    co_await handle();
+    report();
+}
+
+Task<void> EntryRequest::handle()
+{
 
     // 1. Who it is for and what it is worth.
     m_decision = decide();
@@ -75,6 +84,7 @@
     request.importance = terms.importance;
     request.bodyBytes = head.contentLength;
     m_key = std::string(request.key.value_or(""));
+    m_label = std::string(m_parts.dialect.labelIn(head.headers));
     m_idempotencyKey = std::string(head.header("Idempotency-Key"));
 
     // A key in the target would be passed on, and written into logs on its way.
@@ -206,6 +216,7 @@
         Attempt attempt { *choice, {}, m_parts.clock.now(), 0, std::nullopt, std::nullopt, Duration(0), Reason::None };
         const auto decision = co_await makeAttempt(attempt);
         conclude(attempt);
+        noteAttempt(attempt, decision.reason);
         if (decision.step == NextStep::TryAnotherServer) {
             m_parts.board.counters().add(Counter::RetriesSpent);
             m_parts.board.counters().addRetry(decision.reason);
@@ -220,6 +231,7 @@
             close(Outcome::Served, m_answerStatus);
         } else if (decision.step == NextStep::AbortAnswer) {
             m_parts.board.counters().addRefusal(decision.reason);
+            m_end = decision.reason;
             m_exchange->abort();
             close(Outcome::Unknown, noStatus);
         } else {
@@ -397,6 +409,7 @@
         reason = m_body->failure();
     m_parts.board.counters().add(Counter::RequestsRefused);
     m_parts.board.counters().addRefusal(reason);
+    m_end = reason;
 
     // 2. A reply that has begun can only be broken off.
     if (m_exchange->replyStarted()) {
@@ -405,11 +418,41 @@
     }
     if (retryAfter <= Duration(0))
         retryAfter = m_parts.control.retry.retryAfter(service(), reason);
+    m_retryAfter = retryAfter;
     const auto text = id().sequence ? toText(id()) : std::string();
     auto reply = m_parts.dialect.refusal({ reason, retryAfter, text });
     co_await m_exchange->reply(std::move(reply));
 }
 
+// Called from a coroutine, so that it stays a plain function: see the developers' page.
+void EntryRequest::noteAttempt(const Attempt& attempt, Reason reason)
+{
+    const auto took = std::chrono::duration_cast<milliseconds>(m_parts.clock.now() - attempt.sentAt);
+    if (!m_trail.empty())
+        m_trail += ',';
+    m_trail += fmt::format("{}:{}:{}ms", attempt.choice.endpoint, toText(reason), took.count());
+}
+
+// One line for the request: what was decided, and what decided it.
+void EntryRequest::report() const
+{
+    const auto& context = m_decision.context;
+    const auto own = context.attempt.request.sequence ? toText(context.attempt.request) : std::string();
+    const auto& label = m_label.empty() ? own : m_label;
+    const auto kind = m_end == Reason::None ? LogClass::Routine : LogClass::Failure;
+    if (!wantsRequestLine(kind, label))
+        return;
+    const auto took = std::chrono::duration_cast<milliseconds>(m_parts.clock.now() - m_receivedAt);
+    logRequest(kind, "request",
+        { { "id", label }, { "request", own }, { "route", context.route }, { "account", context.account },
+            { "service", context.service }, { "importance", toText(context.importance) }, { "depth", context.depth },
+            { "reason", toText(m_end) }, { "outcome", toText(row(m_end).outcome) }, { "status", m_answerStatus },
+            { "configuration", m_decision.configuration ? m_decision.configuration->number() : 0 },
+            { "allowed-ms", std::chrono::duration_cast<milliseconds>(context.remaining).count() },
+            { "took-ms", took.count() }, { "attempts", m_trail },
+            { "retry-after-ms", std::chrono::duration_cast<milliseconds>(m_retryAfter).count() } });
+}
+
 // Gives back what the request held.
 void EntryRequest::close(Outcome outcome, uint16_t status)
 {
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -29,6 +29,8 @@
         Reason reason { Reason::None };
     };
 
+    Task<void> handle();
+
     // Before the first attempt.
     EntryDecision decide();
     Task<Reason> passGates();
@@ -51,6 +53,8 @@
     void cancelAttempt(Reason);
 
     // The end.
+    void report() const;
+    void noteAttempt(const Attempt&, Reason);
     Task<void> refuse(Reason, Duration retryAfter);
     void close(Outcome, uint16_t status);
     std::string_view service() const { return m_decision.context.service; }
@@ -62,6 +66,13 @@
     RouteName m_parentRoute;
     EntryDecision m_decision;
     std::string m_key;
+    /// The caller's own name for the request.
+    std::string m_label;
+    /// How it ended; None for an answer that was passed on whole.
+    Reason m_end { Reason::None };
+    Duration m_retryAfter { 0 };
+    /// Its attempts so far, for the log: node, end and milliseconds of each.
+    std::string m_trail;
     std::string m_idempotencyKey;
     bool m_claimed { false };
     std::optional<QuotaDecision> m_token;
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -1,5 +1,7 @@
 #include "node/GuardAttempt.h"
 
+#include "log/Log.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -49,7 +51,8 @@
         refuse(reason, false);
         co_return;
     }
-    m_deadline = m_parts.clock.now() + context().remaining;
+    m_acceptedAt = m_parts.clock.now();
+    m_deadline = m_acceptedAt + context().remaining;
     m_parts.board.attempts().visit(id(), [&](const AttemptRecord& record) { m_deadline = record.deadline; });
 
     // 2. What the entry sends meanwhile is read on the side.
@@ -66,6 +69,30 @@
         m_call->abort();
         co_await m_bodyDone.wait();
     }
+    report();
+}
+
+// One line for the attempt: what the guard decided, and what decided it.
+void GuardAttempt::report() const
+{
+    const auto own = toText(id());
+    const auto given = m_parts.dialect.labelIn(m_open.headers);
+    const auto label = given.empty() ? std::string_view(own) : given;
+    const auto kind = m_end == Reason::None ? LogClass::Routine : LogClass::Failure;
+    if (!wantsRequestLine(kind, label))
+        return;
+    const auto now = m_parts.clock.now();
+    const auto inMilliseconds = [](Duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
+    const auto started = m_startedAt == Instant() ? now : m_startedAt;
+    const auto load = m_parts.control.admission.feedback(context().service);
+    logRequest(kind, "attempt",
+        { { "id", label }, { "attempt", own }, { "entry", m_stream->peer().endpoint }, { "server", m_instance },
+            { "service", context().service }, { "importance", toText(context().importance) },
+            { "reason", toText(m_end) }, { "started", m_startedAt != Instant() }, { "status", m_status },
+            { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) },
+            { "waited-ms", inMilliseconds(started - m_acceptedAt) }, { "server-ms", inMilliseconds(now - started) },
+            { "running", load.running }, { "waiting", load.waiting }, { "limit", load.limit },
+            { "shed-level", load.shedLevel } });
 }
 
 // Temporaries with owners in them are made in plain functions: see the developers' page.
@@ -231,6 +258,7 @@
     answer.attempt = id();
     answer.guard = m_parts.board.self().boot;
     answer.status = head->status;
+    m_status = head->status;
     answer.headers = std::move(head->headers);
     std::erase_if(answer.headers, [&](const HeaderField& field) { return m_parts.dialect.isOwnHeader(field.name); });
     answer.hasBody = head->hasBody;
@@ -354,6 +382,7 @@
         started = true;
     if (!started && row(reason).outcome == Outcome::Unknown)
         reason = reason == Reason::Timeout ? Reason::DeadlineExceeded : Reason::Barred;
+    m_end = reason;
     Refusal refusal;
     refusal.attempt = id();
     refusal.guard = m_parts.board.self().boot;
--- a/src/node/GuardAttempt.h
+++ b/src/node/GuardAttempt.h
@@ -35,6 +35,7 @@
     void cancel(Reason);
     void refuse(Reason, bool started, Duration retryAfter = Duration(0));
     void endAdmission(AdmittedEnd);
+    void report() const;
     uint32_t retriesUsed() const;
     RequestHead headForBackend() const;
     BackendCall::StrayTest strayTest() const;
@@ -55,6 +56,10 @@
 
     /// Why nobody waits for the answer any more; None as long as somebody does.
     Reason m_cancelled { Reason::None };
+    /// How it ended; None for an answer that was passed on whole.
+    Reason m_end { Reason::None };
+    uint16_t m_status { 0 };
+    Instant m_acceptedAt;
     bool m_waiting { false };
     bool m_ended { false };
     std::shared_ptr<Event> m_admissionDecided;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -207,6 +207,7 @@
             return;
         }
         setLogLevel(settings.value().logLevel);
+        setLogLimits(settings.value().logLimits);
         log(LogLevel::Info, "settings-reloaded", { { "log-level", toText(settings.value().logLevel) } });
     }
 
@@ -287,6 +288,7 @@
 NodeEnd runNode(const Settings& settings, const Integration& integration, std::function<SettingsResult()> reload)
 {
     setLogLevel(settings.logLevel);
+    setLogLimits(settings.logLimits);
     return Node(settings, integration, std::move(reload)).run();
 }
 
--- a/src/settings/Fields.cpp
+++ b/src/settings/Fields.cpp
@@ -44,6 +44,11 @@
             { 1, longestText }, "log-level = \"info\"" },
     } };
 
+    const std::array<Field<LogLimits>, 2> logTable { {
+        { "request-lines", &LogLimits::requestLinesPerSecond, { 0, 1e6 }, "request-lines = 50" },
+        { "routine-one-in", &LogLimits::routineOneIn, { 0, 1e9 }, "routine-one-in = 128" },
+    } };
+
     const std::array<Field<SecretSource>, 2> secretTable { {
         { "text", &SecretSource::text, { 16, longestText }, "text = \"at least 16 characters\"" },
         { "file", &SecretSource::file, { 1, longestText }, "file = \"secret.txt\"" },
@@ -90,6 +95,8 @@
 
 std::span<const Field<Settings>> nodeFields() { return nodeTable; }
 
+std::span<const Field<LogLimits>> logFields() { return logTable; }
+
 std::span<const Field<SecretSource>> secretFields() { return secretTable; }
 
 std::span<const Field<StoreSettings>> storeFields() { return storeTable; }
--- a/src/settings/Fields.h
+++ b/src/settings/Fields.h
@@ -13,6 +13,7 @@
 
 std::span<const Field<AddressSettings>> addressFields();
 std::span<const Field<Settings>> nodeFields();
+std::span<const Field<LogLimits>> logFields();
 std::span<const Field<SecretSource>> secretFields();
 std::span<const Field<StoreSettings>> storeFields();
 std::span<const Field<LimitSettings>> limitFields();
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -188,6 +188,7 @@
     const auto secret = readTable(root, "secret", secretFields());
     auto store = readTable(root, "store", storeFields());
     const auto limits = readTable(root, "limits", limitFields());
+    const auto logLimits = readTable(root, "log", logFields());
     const auto quota = readTable(root, "quota", quotaFields());
     const auto membership = readTable(root, "membership", membershipFields());
     root.reportUnknown();
@@ -210,6 +211,7 @@
     settings.addresses = addresses.row;
     settings.store = store.row;
     settings.limits = limits.row;
+    settings.logLimits = logLimits.row;
     settings.quota = quota.row;
     settings.membership = membership.row;
     return settings;
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -89,6 +89,7 @@
     Secret secret;
     uint32_t threads { 2 };
     LogLevel logLevel { LogLevel::Info };
+    LogLimits logLimits;
     StoreSettings store;
     LimitSettings limits;
     /// How tokens are created and handed on.
--- a/tests/SettingsTests.cpp
+++ b/tests/SettingsTests.cpp
@@ -129,6 +129,7 @@
     check(nodeFields());
     check(secretFields());
     check(storeFields());
+    check(logFields());
     check(limitFields());
     check(quotaFields());
     check(membershipFields());
