Give calls that name no parent the worth of a likely one, and never shed them

A call now has the importance of one of the requests running beside the node, drawn evenly, so the shed level that travels back up falls on the right importances where requests enter; in the queue it goes before new work and is not shed. AdmissionTests and EntryTests play both.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -93,10 +93,13 @@
     {
         double level = 0;
         for (const auto& route : neededRoutes(context.route)) {
-            board.shedRecords().visit({ route, context.account }, [&](ShedRecord& record) {
-                if (clock.now() - record.at < shedRecordLife)
-                    level = std::max(level, record.level);
-            });
+            // Routes that are open to all are called on behalf of no account.
+            for (const auto& account : { context.account, AccountName() }) {
+                board.shedRecords().visit({ route, account }, [&](ShedRecord& record) {
+                    if (clock.now() - record.at < shedRecordLife)
+                        level = std::max(level, record.level);
+                });
+            }
         }
         return level;
     }
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -77,23 +77,27 @@
 
 bool Gate::isShedByLevel(const RequestContext& context) const
 {
-    return shedRank(context) < m_budget.level(context.account);
+    return isNewWork(context) && shedRank(context) < m_budget.level(context.account);
 }
 
 bool Gate::isNeverShed(const RequestContext&) const { return false; }
 
+// A call whose request is not known here cannot be shed together with it: load is told to where requests enter instead.
+bool Gate::isNewWork(const RequestContext& context) { return context.parentKnown; }
+
 Gate::Place Gate::placeByWorth(const RequestContext& context)
 {
     const double order = m_budget.order(context.importance, context.account, context.treeHash);
-    return { context.importance, order, ++m_sequence };
+    return { isNewWork(context), context.importance, order, ++m_sequence };
 }
 
-Gate::Place Gate::placeByArrival(const RequestContext&) { return { Importance::Low, 0, ++m_sequence }; }
+Gate::Place Gate::placeByArrival(const RequestContext&) { return { true, Importance::Low, 0, ++m_sequence }; }
 
 // The most important wait for as long as they can still finish: those less important make way for them.
 bool Gate::isDroppedUnlessCritical(const Ticket& ticket, Instant now)
 {
-    return ticket.place.importance != Importance::Critical && isDroppedAtLimit(ticket, now);
+    const bool makesWay = ticket.place.isNewWork && ticket.place.importance != Importance::Critical;
+    return makesWay && isDroppedAtLimit(ticket, now);
 }
 
 bool Gate::isDroppedAtLimit(const Ticket& ticket, Instant now) { return now - ticket.since > longestWait(); }
@@ -152,7 +156,8 @@
     m_overflowed |= isFull;
     if (isShed || isFull) {
         const bool isWorse = m_queue.empty() || m_queue.rbegin()->first < place;
-        const bool sameClass = !m_queue.empty() && m_queue.rbegin()->first.importance == place.importance;
+        const bool sameClass = !m_queue.empty() && m_queue.rbegin()->first.isNewWork
+            && m_queue.rbegin()->first.importance == place.importance;
         if (isWorse || (isShed && sameClass))
             return refusal(isShed ? Reason::ShedAtGuard : Reason::QueueFull);
         evictWorst(Reason::ShedAtGuard);
@@ -254,7 +259,7 @@
         const auto& ticket = m_tickets.at(present->second);
         if (cannotFinish(ticket.deadline, now)) {
             refuse(present, Reason::DeadlineExceeded);
-        } else if (present->first.importance > lowestLeft) {
+        } else if (present->first.isNewWork && present->first.importance > lowestLeft) {
             refuse(present, Reason::ShedAtGuard);
         } else if ((this->*m_strategy.isDropped)(ticket, now)) {
             m_overflowed = true;
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -36,6 +36,8 @@
 private:
     // Place in the queue: best first.
     struct Place {
+        // Calls of requests that already run go before new work, or what has been done for them is lost.
+        bool isNewWork { true };
         Importance importance { Importance::Low };
         double order { 0 };
         uint64_t sequence { 0 };
@@ -65,6 +67,7 @@
     bool isNeverShed(const RequestContext&) const;
     Place placeByWorth(const RequestContext&);
     Place placeByArrival(const RequestContext&);
+    static bool isNewWork(const RequestContext&);
     bool isDroppedUnlessCritical(const Ticket&, Instant);
     bool isDroppedAtLimit(const Ticket&, Instant);
     bool isDroppedByDelay(const Ticket&, Instant);
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -15,6 +15,7 @@
     State(Board& board, const Clock& clock, RandomSource& random, const Freshness& freshness, Retry& retry)
         : board(board)
         , clock(clock)
+        , random(random)
         , freshness(freshness)
         , retry(retry)
         , sequenceSecret(random.next())
@@ -36,6 +37,32 @@
         return { self.id(), self.boot, mixHash(sequenceSecret, sequence.fetch_add(1, std::memory_order_relaxed)) };
     }
 
+    // One of the attempts that run beside this node, each as likely as the others; nothing when there is none.
+    std::optional<RequestContext> likelyParent()
+    {
+        std::optional<RequestContext> drawn;
+        uint64_t seen = 0;
+        board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
+            if (record.state == AttemptState::Started && random.below(++seen) == 0)
+                drawn = record.context;
+        });
+        return drawn;
+    }
+
+    // Gives a call that names no parent the worth of a likely one.
+    void adoptLikelyParent(EntryDecision& decision)
+    {
+        const auto parent = likelyParent();
+        if (!parent)
+            return;
+        auto& context = decision.context;
+        context.importance = parent->importance;
+        context.represents = parent->represents;
+        context.depth = parent->depth + 1;
+        context.parentKnown = false;
+        decision.likelyParentRoute = parent->route;
+    }
+
     // The service for the next request of the route. Steps of the golden ratio visit the weights evenly from the first
     // request on, whatever their number.
     ServiceName serviceOf(const Route& route)
@@ -61,6 +88,7 @@
 
     Board& board;
     const Clock& clock;
+    RandomSource& random;
     const Freshness& freshness;
     Retry& retry;
     /// Where each route with several services stands in its turns, from 0 to 1.
@@ -142,6 +170,8 @@
     context.retriesLeft = std::min(route->retries, configuration->policy().retriesPerRequest);
     context.depth = 1;
     context.treeHash = std::hash<RequestId>()(context.attempt.request);
+    if (route->open && !configuration->declarations().accounts.empty())
+        self.adoptLikelyParent(decision);
     decision.configuration = configuration;
     decision.route = route;
     return decision;
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -38,6 +38,8 @@
     const Route* route { nullptr };
     /// Retries lent by the parent's attempt.
     uint32_t retriesLent { 0 };
+    /// Of a call that names no parent: the route of the request that it is likely to belong to; empty otherwise.
+    RouteName likelyParentRoute {};
 };
 
 /// May be called from several threads. References must outlive it.
@@ -46,7 +48,10 @@
     Entry(Board&, const Clock&, RandomSource&, const Freshness&, Retry&);
     ~Entry();
 
-    /// Decides about a caller's request. What follows counts against its account.
+    /// Decides about a caller's request. What follows counts against its account. Where accounts are declared, a
+    /// request to an open route that enters beside a backend server with work is taken for a call of that server: it
+    /// names no parent, so it gets the worth of one of the running requests, drawn evenly. So the loads that services
+    /// further down tell of are divided among importances as the calls really are.
     EntryDecision decide(const IncomingRequest&);
     /// Decides about a call that a backend server beside this node makes for the request it is running. Account,
     /// importance, deadline and retries are the parent's: the backend server cannot change them.
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -54,6 +54,9 @@
     uint64_t treeHash { 0 };
     /// Requests that this one stands for: itself, and those like it that were shed on the way here.
     double represents { 1 };
+    /// Whether the request that made this call is known, if it is one. Where it is not, importance and what it
+    /// represents are those of a likely one.
+    bool parentKnown { true };
 };
 
 /// Where a request stands among those that may be shed, from 0 (shed first) to importanceCount: it is shed while its
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-    // Threads in the arena, and how many of its places are kept for threads that enter it.
-    constexpr int arenaThreads = 2;
+    // Places in the arena, and how many of them are kept for threads that enter it. No more: oneTBB warns on standard
+    // error about workers that one core cannot give.
+    constexpr int arenaThreads = 1;
     constexpr unsigned keptPlaces = 1;
     constexpr Duration controllerPeriod = milliseconds(50);
     // How often the queue before a backend server is looked at while requests wait in it.
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -159,6 +159,8 @@
         parent = m_parent->request;
         m_parts.board.attempts().visit(
             *m_parent, [&](const AttemptRecord& record) { m_parentRoute = record.context.route; });
+    } else {
+        m_parentRoute = m_decision.likelyParentRoute;
     }
     m_parts.control.entryLedger.open(m_decision.context, m_decision.deadline, parent, true);
     m_parts.control.retry.noteFirstTry(service());
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -251,7 +251,9 @@
 // Whether this request is shed, and how many it stands for if not.
 bool Placement::State::isShed(ShedRecord& record, RequestContext& context)
 {
-    // 1. Those whose rank is high enough pass.
+    // 1. Those whose rank is high enough pass, and calls of requests that already run.
+    if (!context.parentKnown)
+        return false;
     const double level = presentLevel(record);
     const double survival = survivalAt(context.importance, level);
     if (survival >= 1)
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -48,10 +48,10 @@
 template <typename Archive> void serialize(Archive& archive, RequestContext& context)
 {
     auto& [attempt, account, route, service, importance, idempotent, remaining, retriesLeft, depth, treeHash,
-        represents]
+        represents, parentKnown]
         = context;
     archive(attempt, account, route, service, ranged(importance), idempotent, remaining, retriesLeft, depth, treeHash,
-        represents);
+        represents, parentKnown);
 }
 
 template <typename Archive> void serialize(Archive& archive, OpenRequest& message)
--- a/tests/AdmissionTests.cpp
+++ b/tests/AdmissionTests.cpp
@@ -227,6 +227,47 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(GivenCallsWhoseRequestsAreNotKnown)
+
+BOOST_AUTO_TEST_CASE(ThenTheyGoBeforeNewWorkHoweverImportantThatIs)
+{
+    Guard guard(1);
+    BOOST_TEST((guard.offer(guard.request(Importance::Normal)) == AdmissionVerdict::Admitted));
+    BOOST_TEST((guard.offer(guard.request(Importance::Critical)) == AdmissionVerdict::Waiting));
+    auto call = guard.request(Importance::Low, "");
+    call.parentKnown = false;
+    BOOST_TEST((guard.offer(call) == AdmissionVerdict::Waiting));
+    guard.finishOne();
+    const auto changes = guard.settle();
+    BOOST_REQUIRE(changes.size() == 1u);
+    BOOST_TEST((changes[0].attempt == call.attempt));
+    BOOST_TEST((changes[0].decision.verdict == AdmissionVerdict::Admitted));
+}
+
+BOOST_AUTO_TEST_CASE(ThenNewWorkIsShedForThemAndTheyAreNot)
+{
+    // Twice as many calls and new requests as the backend server can take, for two seconds.
+    Guard guard(4);
+    size_t callsRefused = 0;
+    size_t newRefused = 0;
+    for (int i = 0; i < 2000; ++i) {
+        guard.clock.advance(milliseconds(1));
+        auto call = guard.request(Importance::Normal, "");
+        call.parentKnown = false;
+        if (i % 4 == 0)
+            callsRefused += guard.offer(call) == AdmissionVerdict::Refused;
+        if (i % 2 == 0)
+            newRefused += guard.offer(guard.request(Importance::Low)) == AdmissionVerdict::Refused;
+        if (i % 3 == 0)
+            guard.finishOne();
+        guard.settle();
+    }
+    BOOST_TEST(callsRefused == 0u);
+    BOOST_TEST(newRefused > 300u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(GivenAGuard)
 
 BOOST_AUTO_TEST_SUITE(WhenASlotIsFree)
--- /dev/null
+++ b/tests/EntryTests.cpp
@@ -0,0 +1,136 @@
+// libraries: entry
+#include "entry/Entry.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace Vanillaridge;
+
+namespace {
+
+constexpr std::string_view northKey = "key-of-north";
+
+Declarations declarations()
+{
+    Declarations declared;
+    declared.services = { { "reports" }, { "archive" }, { "rides" } };
+    declared.accounts = { { "north", 10, 20, { digestOfKey(northKey) }, Importance::Critical },
+        { "south", 10, 20, { digestOfKey("key-of-south") } } };
+    Route read;
+    read.name = "read";
+    read.host = "reports.example";
+    read.path = "/reports/*";
+    read.shares = { { "reports", 90 }, { "archive", 10 } };
+    Route registry;
+    registry.name = "registry";
+    registry.host = "rides.example";
+    registry.path = "/registry/*";
+    registry.service = "rides";
+    registry.open = true;
+    Route anywhere;
+    anywhere.name = "anywhere";
+    anywhere.path = "/reports/*";
+    anywhere.service = "archive";
+    declared.routes = { read, registry, anywhere };
+    return declared;
+}
+
+struct Story {
+    Story()
+    {
+        board.configuration().adopt(std::make_shared<const Configuration>(1, declarations()));
+        freshness.tick();
+        board.configuration().updateFreshness([&](FreshnessRecord& record) {
+            record.confirmedAt = clock.now();
+            record.newestNumber = 1;
+            record.viewRefreshed = true;
+            record.storeReachable = true;
+            record.reachableShare = 1;
+        });
+        freshness.tick();
+    }
+
+    EntryDecision decide(std::string_view host, std::string_view path, std::optional<std::string_view> key = {})
+    {
+        IncomingRequest request;
+        request.host = host;
+        request.method = "GET";
+        request.path = path;
+        request.key = key;
+        return entry.decide(request);
+    }
+
+    // A request that runs at the backend server beside the node.
+    void run(uint64_t sequence, const RouteName& route, Importance importance)
+    {
+        const AttemptId id { { { 9 }, { 9 }, sequence }, 1 };
+        board.attempts().update(id, [&](AttemptRecord& record) {
+            record.state = AttemptState::Started;
+            record.context.attempt = id;
+            record.context.route = route;
+            record.context.importance = importance;
+            record.context.represents = 3;
+        });
+    }
+
+    ManualClock clock;
+    std::unique_ptr<RandomSource> random = makeSeededRandom(20260401);
+    Board board { { "10.0.0.1:7000", "a", { 1 }, { 1 } } };
+    Freshness freshness { board, clock, {} };
+    Retry retry { board, clock, *random };
+    Entry entry { board, clock, *random, freshness, retry };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GivenRoutesOfSeveralHosts, Story)
+
+BOOST_AUTO_TEST_CASE(ThenTheNamedHostGoesBeforeAnyHost)
+{
+    BOOST_TEST(decide("reports.example", "/reports/1", northKey).context.route == "read");
+    BOOST_TEST(decide("other.example", "/reports/1", northKey).context.route == "anywhere");
+    BOOST_TEST((decide("other.example", "/registry/1").reason == Reason::NoRoute));
+}
+
+BOOST_AUTO_TEST_CASE(ThenAnAccountsOwnImportanceGoesBeforeTheRoutes)
+{
+    BOOST_TEST((decide("reports.example", "/reports/1", northKey).context.importance == Importance::Critical));
+    BOOST_TEST((decide("reports.example", "/reports/1", "key-of-south").context.importance == Importance::Normal));
+}
+
+BOOST_AUTO_TEST_CASE(ThenSharesAreKeptFromTheFirstRequestsOn)
+{
+    std::map<ServiceName, int> counts;
+    for (int i = 0; i < 50; ++i)
+        ++counts[decide("reports.example", "/reports/1", northKey).context.service];
+    BOOST_TEST(counts["archive"] >= 4);
+    BOOST_TEST(counts["archive"] <= 6);
+}
+
+BOOST_AUTO_TEST_SUITE(WhenAnOpenRouteIsCalledBesideABackendServerThatWorks)
+
+BOOST_AUTO_TEST_CASE(ThenTheCallHasTheWorthOfOneOfTheRunningRequests)
+{
+    for (uint64_t i = 0; i < 30; ++i)
+        run(i, i < 10 ? "sign" : "look-up", i < 10 ? Importance::Critical : Importance::Low);
+    std::map<Importance, int> counts;
+    for (int i = 0; i < 600; ++i) {
+        const auto decision = decide("rides.example", "/registry/1");
+        BOOST_TEST(!decision.context.parentKnown);
+        BOOST_TEST(decision.context.represents == 3);
+        ++counts[decision.context.importance];
+    }
+    BOOST_TEST(counts[Importance::Critical] > 150);
+    BOOST_TEST(counts[Importance::Critical] < 250);
+}
+
+BOOST_AUTO_TEST_CASE(ThenWithoutWorkItIsACallersRequest)
+{
+    const auto decision = decide("rides.example", "/registry/1");
+    BOOST_TEST(decision.context.parentKnown);
+    BOOST_TEST((decision.context.importance == Importance::Normal));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
