Take the node's own lag into account, and let refused callers return in time

The event loop's lag is measured; so much is taken off what a caller gave, new requests are refused as node-busy from 150 to 300 ms of lag on, the least important first, and a caller that has left by then is noticed before anything is sent. Ruled out: the age bound of messages between nodes, which counts from the sender's stamp, and the guard's start, which looks at its deadline.

Refused callers are asked back within two fifths of the target latency, and are shed after others of their importance when they come back: the time that they still give tells them from those that repeat at once.

Reads between nodes clear no buffers any more.

--- a/src/core/Core.cpp
+++ b/src/core/Core.cpp
@@ -195,6 +195,7 @@
             "the request was on its way to the backend server's node for too long" },
         { Reason::MemoryFull, "memory-full", 503, notRun, true, "no room to remember another request" },
         { Reason::ServerBusy, "server-busy", 503, notRun, true, "the backend server itself turned it away unrun" },
+        { Reason::NodeBusy, "node-busy", 503, notRun, false, "the node where it entered is short of processor time" },
     } };
 
 } // namespace
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -199,6 +199,7 @@
     MessageTooOld,
     MemoryFull,
     ServerBusy,
+    NodeBusy,
     Count,
 };
 constexpr size_t reasonCount = static_cast<size_t>(Reason::Count);
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -6,6 +6,30 @@
 
 namespace {
 
+    // Lag of the node from which on new requests are refused here, for the most important ones, and how much earlier
+    // that begins with each class below; over how much lag a class goes from none to all. The shortest target latency
+    // of the deployments served is 100 ms, and callers may leave within 0.5 s without work going on for them.
+    constexpr Duration refusedLag = milliseconds(300);
+    constexpr Duration lagPerClass = milliseconds(50);
+    constexpr Duration lagSpan = milliseconds(150);
+
+    // Share of the longest time that callers of a route give below which a request is taken for one that was refused
+    // and has come back: those come after a wait, while callers that repeat at once have nearly all their time left.
+    constexpr double returningShare = 0.93;
+    // What is left of the longest time after another request, so that a shorter one is learnt in time.
+    constexpr double longestDecay = 0.9998;
+    // Highest bits of the tree's hash: with none of them set, a request is among the last quarter of its class to be
+    // shed.
+    constexpr uint64_t quarterBits = uint64_t(3) << 62;
+
+    // Whether a new request is refused because this node lags behind: the least important first.
+    bool isShedForLag(const RequestContext& context, Duration lag)
+    {
+        const auto begins = refusedLag - static_cast<int>(context.importance) * lagPerClass;
+        const auto share = double((lag - begins).count()) / double(lagSpan.count());
+        return unitOfHash(mixHash(context.treeHash, 1)) < share;
+    }
+
     // Retry-After of a request that comes before the first configuration, or while it is not confirmed.
     constexpr Duration configurationRetry = seconds(2);
 
@@ -49,6 +73,18 @@
         return drawn;
     }
 
+    // Whether the request has come back after a refusal, as the time that its caller still gives it shows.
+    bool isReturning(const Route& route, std::optional<Duration> remaining)
+    {
+        if (!remaining)
+            return false;
+        return longest.update(route.name, [&](double& known) {
+            const auto given = static_cast<double>(remaining->count());
+            known = std::max(known * longestDecay, given);
+            return given < returningShare * known;
+        });
+    }
+
     // Gives a call that names no parent the worth of a likely one.
     void adoptLikelyParent(EntryDecision& decision)
     {
@@ -91,6 +127,8 @@
     RandomSource& random;
     const Freshness& freshness;
     Retry& retry;
+    /// Longest time that callers of a route have given of late, in nanoseconds.
+    Sharded<RouteName, double> longest;
     /// Where each route with several services stands in its turns, from 0 to 1.
     Sharded<RouteName, double> turns;
     const uint64_t sequenceSecret;
@@ -155,6 +193,7 @@
     // 3. Its time.
     const auto now = self.clock.now();
     decision.context.remaining = std::min(route->timeout, request.remaining.value_or(route->timeout));
+    decision.context.remaining -= request.unread;
     decision.deadline = now + decision.context.remaining;
     if (decision.context.remaining <= Duration(0))
         return self.refuse(Reason::DeadlineExceeded);
@@ -170,8 +209,12 @@
     context.retriesLeft = std::min(route->retries, configuration->policy().retriesPerRequest);
     context.depth = 1;
     context.treeHash = std::hash<RequestId>()(context.attempt.request);
+    if (self.isReturning(*route, request.remaining))
+        context.treeHash &= ~quarterBits;
     if (route->open && !configuration->declarations().accounts.empty())
         self.adoptLikelyParent(decision);
+    if (context.parentKnown && isShedForLag(context, request.unread))
+        decision.reason = Reason::NodeBusy;
     decision.configuration = configuration;
     decision.route = route;
     return decision;
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -24,6 +24,9 @@
     std::optional<Importance> importance;
     /// Length of its body in bytes, when known.
     std::optional<uint64_t> bodyBytes;
+    /// For how long it may have lain unread: so much of its time may be over, and so short is the node of processor
+    /// time.
+    Duration unread { 0 };
 };
 
 /// What entry decides: a request to be served, or why not.
@@ -48,10 +51,11 @@
     Entry(Board&, const Clock&, RandomSource&, const Freshness&, Retry&);
     ~Entry();
 
-    /// Decides about a caller's request. What follows counts against its account. Where accounts are declared, a
-    /// request to an open route that enters beside a backend server with work is taken for a call of that server: it
-    /// names no parent, so it gets the worth of one of the running requests, drawn evenly. So the loads that services
-    /// further down tell of are divided among importances as the calls really are.
+    /// Decides about a caller's request. What follows counts against its account. One that has come back after a
+    /// refusal is shed after the others of its importance. Where accounts are declared, a request to an open route that
+    /// enters beside a backend server with work is taken for a call of that server: it names no parent, so it gets the
+    /// worth of one of the running requests, drawn evenly. So the loads that services further down tell of are divided
+    /// among importances as the calls really are.
     EntryDecision decide(const IncomingRequest&);
     /// Decides about a call that a backend server beside this node makes for the request it is running. Account,
     /// importance, deadline and retries are the parent's: the backend server cannot change them.
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -93,6 +93,8 @@
     Task<bool> reply(SimpleReply);
     bool replyStarted() const;
 
+    /// Whether the caller's side of the connection has ended, as far as the machine knows by now.
+    bool callerGone() const;
     /// Calls back once, on the strand, if the caller's side of the connection ends before the exchange does.
     /// To be called when the request's body has been read.
     void onCallerGone(std::function<void()>);
--- a/src/http/HttpMessages.h
+++ b/src/http/HttpMessages.h
@@ -52,7 +52,9 @@
         piece.end = BodyEnd::Last;
         co_return piece;
     }
-    piece.bytes.resize(bodyPieceBytes);
+    // The buffer behind the stream holds what has come; a body that is known to be short needs no more room.
+    const auto left = parser.content_length_remaining();
+    piece.bytes.resize(left ? std::min<uint64_t>(*left, bodyPieceBytes) : bodyPieceBytes);
     auto& body = parser.get().body();
     while (true) {
         // 1. Read into what is left of the piece.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -199,6 +199,12 @@
 
 } // namespace
 
+bool HttpExchange::callerGone() const
+{
+    const auto& connection = *m_implementation->connection;
+    return !connection.buffer.size() && isClosedByPeer(m_implementation->connection->stream.socket());
+}
+
 void HttpExchange::onCallerGone(std::function<void()> callback)
 {
     auto& self = *m_implementation;
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -83,6 +83,7 @@
     request.remaining = terms.remaining;
     request.importance = terms.importance;
     request.bodyBytes = head.contentLength;
+    request.unread = m_parts.loopLag.value();
     m_key = std::string(request.key.value_or(""));
     m_label = std::string(m_parts.dialect.labelIn(head.headers));
     m_idempotencyKey = std::string(head.header("Idempotency-Key"));
@@ -260,6 +261,11 @@
         attempt.usedBelow = 0;
         co_return co_await endWithoutAnswer(attempt, AttemptEnd::NeverSent);
     }
+    if (m_exchange->callerGone()) {
+        m_callerGone = true;
+        attempt.usedBelow = 0;
+        co_return co_await endWithoutAnswer(attempt, AttemptEnd::NeverSent);
+    }
     sendOpen(attempt);
     const auto decision = co_await awaitAnswer(attempt);
     m_stream->close();
@@ -418,7 +424,10 @@
         m_exchange->abort();
         co_return;
     }
-    if (retryAfter <= Duration(0))
+    const auto target = m_decision.route ? m_decision.route->targetLatency : Duration(0);
+    if (target > Duration(0) && reason != Reason::OverRate)
+        retryAfter = m_parts.control.retry.retryWithin(target);
+    else if (retryAfter <= Duration(0))
         retryAfter = m_parts.control.retry.retryAfter(service(), reason);
     m_retryAfter = retryAfter;
     const auto text = id().sequence ? toText(id()) : std::string();
--- /dev/null
+++ b/src/node/LoopLag.cpp
@@ -0,0 +1,48 @@
+#include "node/LoopLag.h"
+
+#include <algorithm>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // Short beside the lag that matters, long beside what a timer costs.
+    constexpr Duration period = milliseconds(50);
+    // Share of the former value that is left after a period with less lag.
+    constexpr double persistence = 0.7;
+
+} // namespace
+
+LoopLag::LoopLag(boost::asio::io_context& context)
+    : m_timer(context)
+{
+}
+
+void LoopLag::start()
+{
+    m_timer.expires_after(period);
+    awaitNext();
+}
+
+void LoopLag::stop() { m_timer.cancel(); }
+
+void LoopLag::awaitNext()
+{
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        const auto now = std::chrono::steady_clock::now();
+        note(std::max(Duration(0), Duration(now - m_timer.expiry())));
+        m_timer.expires_at(now + period);
+        awaitNext();
+    });
+}
+
+void LoopLag::note(Duration lag)
+{
+    const auto faded = static_cast<double>(m_value.load(std::memory_order_relaxed)) * persistence
+        + static_cast<double>(lag.count()) * (1 - persistence);
+    m_value.store(std::max(lag.count(), static_cast<Duration::rep>(faded)), std::memory_order_relaxed);
+}
+
+} // namespace Vanillaridge
--- /dev/null
+++ b/src/node/LoopLag.h
@@ -0,0 +1,29 @@
+/// How late the event loop is. Private to the node library.
+#pragma once
+
+#include "core/Core.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Vanillaridge {
+
+/// Measures by how much a timer fires late: for as long may a request have waited in its socket before it was read.
+class LoopLag {
+public:
+    explicit LoopLag(boost::asio::io_context&);
+
+    void start();
+    void stop();
+    /// Rises at once and falls over some periods. Any thread may ask.
+    Duration value() const { return Duration(m_value.load(std::memory_order_relaxed)); }
+
+private:
+    void awaitNext();
+    void note(Duration lag);
+
+    boost::asio::steady_timer m_timer;
+    std::atomic<Duration::rep> m_value { 0 };
+};
+
+} // namespace Vanillaridge
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -77,6 +77,7 @@
         Controllers m_control;
         BackendPool m_backends;
         LatencyHistogram m_addedLatency;
+        LoopLag m_loopLag;
         GuardFlow m_guardFlow;
         PeerTransport m_peers;
         Parts m_parts;
@@ -106,10 +107,11 @@
         , m_control(m_board, m_clock, *m_random, *m_store, m_manifestReader, settings,
               std::string(integration.manifestObject))
         , m_backends(m_context)
+        , m_loopLag(m_context)
         , m_guardFlow(m_parts)
         , m_peers(m_context, m_board, m_clock, *m_random, settings.secret.reveal(), m_guardFlow)
         , m_parts { m_context, m_board, m_clock, *m_random, m_control, m_peers, m_backends, integration.dialect,
-            settings, m_addedLatency }
+            settings, m_loopLag, m_addedLatency }
         , m_entryFlow(m_parts)
         , m_callerHandler(m_parts, m_entryFlow)
         , m_serverHandler(m_parts, m_entryFlow)
@@ -167,6 +169,7 @@
 
         // 2. Duties and requests, until asked to stop.
         m_duties.start();
+        m_loopLag.start();
         boost::asio::co_spawn(m_context, awaitStop(), boost::asio::detached);
         boost::asio::co_spawn(m_context, awaitReloads(), boost::asio::detached);
         log(LogLevel::Info, "node-started",
--- a/src/node/Parts.h
+++ b/src/node/Parts.h
@@ -11,6 +11,7 @@
 #include "http/Http.h"
 #include "membership/Membership.h"
 #include "node/LatencyHistogram.h"
+#include "node/LoopLag.h"
 #include "peer/Peer.h"
 #include "placement/Placement.h"
 #include "quota/Quota.h"
@@ -77,6 +78,7 @@
     BackendPool& backends;
     const Dialect& dialect;
     const Settings& settings;
+    const LoopLag& loopLag;
     /// Time that served requests spent in this node beside the backend server's own time.
     LatencyHistogram& addedLatency;
 };
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -3,6 +3,7 @@
 #include "address/Address.h"
 #include "log/Log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -18,7 +19,7 @@
 
 namespace {
 
-    constexpr size_t readBytes = 64 * 1024;
+    constexpr size_t readBytes = 16 * 1024;
     constexpr Duration watchPeriod = milliseconds(250);
 
     Nonce freshNonce(RandomSource& random)
@@ -236,18 +237,22 @@
 
 // --- Reading --------------------------------------------------------------------------------------------------------
 
-// Reads until so many bytes are there.
+// Reads until so many bytes are there. What is there moves to the front only when the rest would not fit behind it.
 Task<bool> Connection::fill(size_t bytes)
 {
-    while (m_input.size() - m_inputStart < bytes) {
-        m_input.erase(m_input.begin(), m_input.begin() + static_cast<std::ptrdiff_t>(m_inputStart));
-        m_inputStart = 0;
-        const size_t held = m_input.size();
-        m_input.resize(std::max(held + readBytes, bytes));
+    while (m_inputEnd - m_inputStart < bytes) {
+        if (m_input.size() - m_inputStart < std::max(bytes, readBytes)) {
+            std::copy(m_input.begin() + static_cast<std::ptrdiff_t>(m_inputStart),
+                m_input.begin() + static_cast<std::ptrdiff_t>(m_inputEnd), m_input.begin());
+            m_inputEnd -= m_inputStart;
+            m_inputStart = 0;
+            m_input.resize(std::max({ m_input.size(), bytes, 2 * readBytes }));
+        }
         ErrorCode error;
         const auto read = co_await m_stream.async_read_some(
-            boost::asio::buffer(m_input.data() + held, m_input.size() - held), redirect_error(use_awaitable, error));
-        m_input.resize(held + read);
+            boost::asio::buffer(m_input.data() + m_inputEnd, m_input.size() - m_inputEnd),
+            redirect_error(use_awaitable, error));
+        m_inputEnd += read;
         if (error)
             co_return false;
     }
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -95,6 +95,7 @@
     // Reading, on the strand only.
     std::vector<std::byte> m_input;
     size_t m_inputStart { 0 };
+    size_t m_inputEnd { 0 };
     std::optional<PeerClock> m_clockOfPeer;
     Instant m_challengedAt;
     Instant m_usedAt;
--- a/src/retry/Retry.cpp
+++ b/src/retry/Retry.cpp
@@ -16,6 +16,10 @@
     // Retry-After while a service refuses little, and while it refuses everything.
     constexpr Duration shortestRetryAfter = milliseconds(500);
     constexpr Duration longestRetryAfter = seconds(20);
+    // Part of a target latency that passes before a refused caller returns, and how far returns are spread: the rest is
+    // for the second try.
+    constexpr double shareBeforeReturn = 0.4;
+    constexpr double returnJitter = 0.25;
     // Half-life of what is remembered of refusals, for Retry-After.
     constexpr Duration refusalMemory = seconds(2);
 
@@ -226,4 +230,10 @@
     return m_state->random.jittered(base, jitterFraction);
 }
 
+Duration Retry::retryWithin(Duration targetLatency)
+{
+    const auto latest = static_cast<double>(targetLatency.count()) * shareBeforeReturn;
+    return m_state->random.jittered(Duration(static_cast<Duration::rep>(latest)), returnJitter);
+}
+
 } // namespace Vanillaridge
--- a/src/retry/Retry.h
+++ b/src/retry/Retry.h
@@ -49,6 +49,9 @@
 
     /// When a caller who is refused for this reason should come again, jittered so that callers do not come together.
     Duration retryAfter(std::string_view service, Reason);
+    /// The same where an answer has its full worth within a target only: soon enough that the second try can still
+    /// make it.
+    Duration retryWithin(Duration targetLatency);
 
 private:
     struct State;
--- a/tests/EntryTests.cpp
+++ b/tests/EntryTests.cpp
@@ -134,3 +134,71 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(GivenANodeThatLagsBehind, Story)
+
+BOOST_AUTO_TEST_CASE(ThenTheTimeThatARequestMayHaveWaitedIsNotGivenToABackendServer)
+{
+    IncomingRequest request { "reports.example", "GET", "/reports/1", northKey, seconds(2), {}, {}, milliseconds(90) };
+    const auto decision = entry.decide(request);
+    BOOST_TEST((decision.reason == Reason::None));
+    BOOST_TEST((decision.context.remaining == milliseconds(1910)));
+    request.remaining = milliseconds(80);
+    BOOST_TEST((entry.decide(request).reason == Reason::DeadlineExceeded));
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheLeastImportantAreRefusedFirst)
+{
+    const auto refused = [&](std::string_view key, Duration lag) {
+        int count = 0;
+        for (int i = 0; i < 400; ++i) {
+            const IncomingRequest request { "reports.example", "GET", "/reports/1", key, seconds(2), {}, {}, lag };
+            count += entry.decide(request).reason == Reason::NodeBusy;
+        }
+        return count;
+    };
+    BOOST_TEST(refused(northKey, milliseconds(100)) == 0);
+    BOOST_TEST(refused("key-of-south", milliseconds(100)) == 0);
+    BOOST_TEST(refused("key-of-south", milliseconds(275)) > 150);
+    BOOST_TEST(refused(northKey, milliseconds(275)) == 0);
+    BOOST_TEST(refused(northKey, milliseconds(460)) == 400);
+}
+
+BOOST_AUTO_TEST_CASE(ThenCallsOfRunningRequestsAreServedOn)
+{
+    run(1, "sign", Importance::Low);
+    const IncomingRequest request { "rides.example", "GET", "/registry/1", {}, seconds(2), {}, {}, milliseconds(500) };
+    BOOST_TEST((entry.decide(request).reason == Reason::None));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(GivenACallerThatWasRefused, Story)
+
+BOOST_AUTO_TEST_CASE(ThenItIsShedAfterOthersOfItsImportanceWhenItComesBack)
+{
+    const auto rankOf = [&](Duration remaining) {
+        const IncomingRequest request { "reports.example", "GET", "/reports/1", northKey, remaining, {}, {}, {} };
+        return shedRank(entry.decide(request).context);
+    };
+    double lowest = importanceCount;
+    for (int i = 0; i < 200; ++i) {
+        lowest = std::min(lowest, rankOf(seconds(5)));
+        // One that repeats at once has no claim to that.
+        lowest = std::min(lowest, rankOf(milliseconds(4900)));
+    }
+    BOOST_TEST(lowest < 3.1);
+    for (int i = 0; i < 200; ++i)
+        BOOST_TEST(rankOf(milliseconds(4300)) >= 3.75);
+}
+
+BOOST_AUTO_TEST_CASE(ThenItIsAskedBackInTimeForItsTarget)
+{
+    for (int i = 0; i < 100; ++i) {
+        const auto wait = retry.retryWithin(milliseconds(1500));
+        BOOST_TEST((wait >= milliseconds(450)));
+        BOOST_TEST((wait <= milliseconds(750)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
