Serve latencies by part, gates, lag and lost log lines as metrics; test the adapter

Histograms of added latency, whole requests, queue and backend server; gauges of each gate, of the event loop's lag, of the configuration's age and of log lines that were not written. PlatformTests: the operator's configuration, news of backend servers, answers, refusals and headers, with missing, mistyped, unknown and damaged input. Hosts are compared in lower case.

--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -40,6 +40,7 @@
     const auto self = shared_from_this();
     m_parts.board.counters().add(Counter::RequestsReceived);
     co_await handle();
+    m_parts.latencies.whole.record(m_parts.clock.now() - m_receivedAt);
     report();
 }
 
@@ -356,7 +357,7 @@
     attempt.usedBelow = head.retriesUsed;
     attempt.feedback = head.feedback;
     m_parts.control.retry.collect(id(), attempt.lent, attempt.usedBelow);
-    m_parts.addedLatency.record(m_parts.clock.now() - m_receivedAt - head.backendTime);
+    m_parts.latencies.added.record(m_parts.clock.now() - m_receivedAt - head.backendTime);
 
     // 1. The head.
     ReplyHead reply { head.status, std::move(head.headers), head.hasBody, head.contentLength };
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -75,24 +75,29 @@
 // One line for the attempt: what the guard decided, and what decided it.
 void GuardAttempt::report() const
 {
+    const auto now = m_parts.clock.now();
+    const bool hasStarted = m_startedAt != Instant();
+    const auto waited = (hasStarted ? m_startedAt : now) - m_acceptedAt;
+    const auto served = hasStarted ? now - m_startedAt : Duration(0);
+    m_parts.latencies.queued.record(waited);
+    if (hasStarted)
+        m_parts.latencies.server.record(served);
+
     const auto own = toText(id());
     const auto given = m_parts.dialect.labelIn(m_open.headers);
     const auto label = given.empty() ? std::string_view(own) : given;
     const auto kind = m_end == Reason::None ? LogClass::Routine : LogClass::Failure;
     if (!wantsRequestLine(kind, label))
         return;
-    const auto now = m_parts.clock.now();
     const auto inMilliseconds = [](Duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
-    const auto started = m_startedAt == Instant() ? now : m_startedAt;
     const auto load = m_parts.control.admission.feedback(context().service);
     logRequest(kind, "attempt",
         { { "id", label }, { "attempt", own }, { "entry", m_stream->peer().endpoint }, { "server", m_instance },
             { "service", context().service }, { "importance", toText(context().importance) },
-            { "reason", toText(m_end) }, { "started", m_startedAt != Instant() }, { "status", m_status },
-            { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) },
-            { "waited-ms", inMilliseconds(started - m_acceptedAt) }, { "server-ms", inMilliseconds(now - started) },
-            { "running", load.running }, { "waiting", load.waiting }, { "limit", load.limit },
-            { "shed-level", load.shedLevel } });
+            { "reason", toText(m_end) }, { "started", hasStarted }, { "status", m_status },
+            { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) }, { "waited-ms", inMilliseconds(waited) },
+            { "server-ms", inMilliseconds(served) }, { "running", load.running }, { "waiting", load.waiting },
+            { "limit", load.limit }, { "shed-level", load.shedLevel } });
 }
 
 // Temporaries with owners in them are made in plain functions: see the developers' page.
--- a/src/node/LatencyHistogram.h
+++ b/src/node/LatencyHistogram.h
@@ -27,4 +27,16 @@
     std::unique_ptr<Counts> m_counts;
 };
 
+/// Where the time of requests goes.
+struct Latencies {
+    /// From a request's arrival to the beginning of its answer, less the backend server's own time.
+    LatencyHistogram added;
+    /// From a request's arrival to its end, however it ended.
+    LatencyHistogram whole;
+    /// From an attempt's arrival at its guard until it started or was refused.
+    LatencyHistogram queued;
+    /// From an attempt's start to its end.
+    LatencyHistogram server;
+};
+
 } // namespace Vanillaridge
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -76,7 +76,7 @@
         ManifestReader m_manifestReader;
         Controllers m_control;
         BackendPool m_backends;
-        LatencyHistogram m_addedLatency;
+        Latencies m_latencies;
         LoopLag m_loopLag;
         GuardFlow m_guardFlow;
         PeerTransport m_peers;
@@ -111,7 +111,7 @@
         , m_guardFlow(m_parts)
         , m_peers(m_context, m_board, m_clock, *m_random, settings.secret.reveal(), m_guardFlow)
         , m_parts { m_context, m_board, m_clock, *m_random, m_control, m_peers, m_backends, integration.dialect,
-            settings, m_loopLag, m_addedLatency }
+            settings, m_loopLag, m_latencies }
         , m_entryFlow(m_parts)
         , m_callerHandler(m_parts, m_entryFlow)
         , m_serverHandler(m_parts, m_entryFlow)
--- a/src/node/Parts.h
+++ b/src/node/Parts.h
@@ -79,8 +79,7 @@
     const Dialect& dialect;
     const Settings& settings;
     const LoopLag& loopLag;
-    /// Time that served requests spent in this node beside the backend server's own time.
-    LatencyHistogram& addedLatency;
+    Latencies& latencies;
 };
 
 } // namespace Vanillaridge
--- a/src/node/Report.cpp
+++ b/src/node/Report.cpp
@@ -1,5 +1,6 @@
 #include "node/Report.h"
 
+#include "log/Log.h"
 #include "node/LatencyHistogram.h"
 
 #include <boost/json.hpp>
@@ -39,17 +40,48 @@
             "# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} gauge\nvanillaridge_{0} {2}\n", name, help, value);
     }
 
-    void appendLatency(std::string& text, const LatencyHistogram& histogram)
+    void appendLatency(
+        std::string& text, std::string_view name, std::string_view help, const LatencyHistogram& histogram)
     {
-        constexpr std::string_view name = "vanillaridge_added_latency_seconds";
         text += fmt::format(
-            "# HELP {0} time requests spent beside their backend server's own\n# TYPE {0} histogram\n", name);
+            "# HELP vanillaridge_{0}_seconds {1}\n# TYPE vanillaridge_{0}_seconds histogram\n", name, help);
         for (const auto& bin : histogram.bins()) {
-            text += fmt::format("{}_bucket{{le=\"{:.6f}\"}} {}\n", name,
+            text += fmt::format("vanillaridge_{}_seconds_bucket{{le=\"{:.6f}\"}} {}\n", name,
                 std::chrono::duration<double>(bin.upTo).count(), bin.cumulative);
         }
-        text += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_count {1}\n{0}_sum {2:.6f}\n", name, histogram.count(),
-            std::chrono::duration<double>(histogram.sum()).count());
+        text += fmt::format("vanillaridge_{0}_seconds_bucket{{le=\"+Inf\"}} {1}\nvanillaridge_{0}_seconds_count {1}\n"
+                            "vanillaridge_{0}_seconds_sum {2:.6f}\n",
+            name, histogram.count(), std::chrono::duration<double>(histogram.sum()).count());
+    }
+
+    // What the guard decides by, for each backend server beside this node.
+    void appendGates(std::string& text, Parts& parts)
+    {
+        std::vector<LoadFeedback> loads;
+        std::vector<ServiceName> services;
+        parts.board.localServers().forEach(
+            [&](const ServiceName& service, const LocalServerRecord&) { services.push_back(service); });
+        for (const auto& service : services)
+            loads.push_back(parts.control.admission.feedback(service));
+        using Value = double (*)(const LoadFeedback&);
+        struct GateRow {
+            std::string_view name;
+            std::string_view help;
+            Value value;
+        };
+        constexpr std::array<GateRow, 4> rows { {
+            { "gate_running", "requests at the backend server", [](const auto& load) { return double(load.running); } },
+            { "gate_waiting", "requests that wait for it", [](const auto& load) { return double(load.waiting); } },
+            { "gate_limit", "requests that may be at it at once", [](const auto& load) { return double(load.limit); } },
+            { "gate_shed_level", "what is shed: classes in whole steps",
+                [](const auto& load) { return load.shedLevel; } },
+        } };
+        for (const auto& entry : rows) {
+            text += fmt::format("# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} gauge\n", entry.name, entry.help);
+            for (const auto& load : loads)
+                text += fmt::format(
+                    "vanillaridge_{}{{service=\"{}\"}} {}\n", entry.name, load.service, entry.value(load));
+        }
     }
 
 } // namespace
@@ -72,7 +104,24 @@
         static_cast<double>(board.entries().size()));
     appendGauge(text, "running_attempts", "attempts at backend servers beside this node",
         static_cast<double>(board.attempts().size()));
-    appendLatency(text, parts.addedLatency);
+    const auto inSeconds = [](Duration time) { return std::chrono::duration<double>(time).count(); };
+    appendGauge(text, "configuration_age_seconds", "time since the configuration was last confirmed",
+        inSeconds(parts.control.freshness.age()));
+    appendGauge(text, "store_reachable", "whether the store answers those who watch it",
+        board.configuration().freshness().storeReachable);
+    appendGauge(text, "event_loop_lag_seconds", "how late the event loop is", inSeconds(parts.loopLag.value()));
+    appendGauge(text, "quota_slots_held", "quota slots that this node holds",
+        static_cast<double>(parts.control.quota.heldSlots().size()));
+    appendGauge(text, "log_lines_dropped", "log lines dropped since the start because nobody read fast enough",
+        static_cast<double>(droppedLogLines()));
+    appendGauge(text, "log_lines_suppressed", "lines about requests that their bound did not allow since the start",
+        static_cast<double>(suppressedRequestLines()));
+    appendGates(text, parts);
+    appendLatency(
+        text, "added_latency", "time requests spent beside their backend server's own", parts.latencies.added);
+    appendLatency(text, "request", "time from arrival to end", parts.latencies.whole);
+    appendLatency(text, "queue", "time attempts waited before their backend server", parts.latencies.queued);
+    appendLatency(text, "server", "time attempts spent at their backend server", parts.latencies.server);
     return text;
 }
 
--- /dev/null
+++ b/tests/PlatformTests.cpp
@@ -0,0 +1,253 @@
+// libraries: platform
+#include "platform/OperatorConfiguration.h"
+#include "platform/PlatformDialect.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace Vanillaridge;
+
+namespace {
+
+namespace json = boost::json;
+
+const std::string configuration = R"({
+  "version": 7,
+  "routes": [
+    {"name": "look-up", "host": "Reports.example", "path-prefix": "/reports/", "route-type": "idempotent",
+     "timeout-ms": 1200, "target-latency-ms": 1500, "priority": 2, "attempts": 2, "public": false,
+     "split": [{"service": "archive", "weight": 90}, {"service": "rides", "weight": 10}]},
+    {"name": "sign", "host": "certs.example", "path-prefix": "/", "route-type": "non_idempotent",
+     "timeout-ms": 1500, "target-latency-ms": 2000, "priority": 0, "service": "certs", "attempts": 2},
+    {"name": "upload", "host": "photos.example", "path-prefix": "/up/", "route-type": "upload",
+     "priority": 9, "service": "archive", "attempts": 1},
+    {"name": "registry", "host": "rides.example", "path-prefix": "/", "route-type": "idempotent",
+     "target-latency-ms": 300, "priority": 3, "service": "rides", "attempts": 1, "public": true}],
+  "services": [{"name": "archive", "health-path": "/health", "max-connections": 826},
+               {"name": "rides"}, {"name": "certs", "something-new": [1]}],
+  "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864},
+  "tenants": [{"name": "north", "api-keys": ["one", "two"], "priority": 1, "rate-per-s": 134, "burst": 134},
+              {"name": "south", "api-keys": ["three"]}],
+  "unknown": {"a": 1}
+})";
+
+RequestHead headOf(std::string method, std::string target, std::vector<HeaderField> headers = {})
+{
+    return { std::move(method), std::move(target), std::move(headers), false, {} };
+}
+
+json::object heartbeat()
+{
+    return { { "service", "rides" }, { "address", "10.0.0.9:8080" }, { "zone", "a" }, { "version", "v1" },
+        { "slots", 41 }, { "state", "ready" }, { "cold-left-ms", 2500 }, { "seq", 4 }, { "born", 1700000000000 } };
+}
+
+std::optional<ServerNews> newsOf(const json::value& body, const std::string& path = "/instances/i-1/heartbeat")
+{
+    return platformDialect().serverNews(headOf("POST", path), json::serialize(body));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GivenAnOperatorsConfiguration)
+
+BOOST_AUTO_TEST_CASE(ThenItBecomesOurDeclarations)
+{
+    const auto result = readOperatorConfiguration(configuration);
+    BOOST_REQUIRE(result);
+    const auto& declared = result.declarations();
+
+    BOOST_REQUIRE(declared.accounts.size() == 2u);
+    BOOST_TEST(declared.accounts[0].rate == 134);
+    BOOST_TEST((declared.accounts[0].importance == Importance::High));
+    BOOST_TEST(declared.accounts[0].keys.size() == 2u);
+    BOOST_TEST((declared.accounts[1].keys.at(0) == digestOfKey("three")));
+    BOOST_TEST(declared.accounts[1].rate == 0);
+    BOOST_TEST(!declared.accounts[1].importance);
+
+    BOOST_REQUIRE(declared.routes.size() == 4u);
+    const auto& lookUp = declared.routes[0];
+    BOOST_TEST(lookUp.host == "reports.example");
+    BOOST_TEST(lookUp.path == "/reports/*");
+    BOOST_TEST(lookUp.idempotent);
+    BOOST_TEST(!lookUp.open);
+    BOOST_TEST((lookUp.importance == Importance::Normal));
+    BOOST_TEST(lookUp.retries == 1u);
+    BOOST_TEST((lookUp.timeout == milliseconds(1200)));
+    BOOST_TEST((lookUp.targetLatency == milliseconds(1500)));
+    BOOST_TEST(lookUp.bodyLimit == 67108864u);
+    BOOST_REQUIRE(lookUp.shares.size() == 2u);
+    BOOST_TEST(lookUp.shares[1].weight == 10);
+    BOOST_TEST(!declared.routes[1].idempotent);
+    BOOST_TEST(!declared.routes[2].idempotent);
+    BOOST_TEST((declared.routes[2].importance == Importance::Low));
+    BOOST_TEST(declared.routes[3].open);
+}
+
+BOOST_AUTO_TEST_CASE(ThenItsSectionsPassOurOwnChecks)
+{
+    const auto declared = readOperatorConfiguration(configuration).declarations();
+    const auto again = assembleSections(sectionsOf(declared));
+    for (const auto& problem : again.problems())
+        BOOST_ERROR(toText(problem));
+    BOOST_REQUIRE(again);
+    BOOST_TEST((sectionsOf(again.declarations()) == sectionsOf(declared)));
+}
+
+BOOST_AUTO_TEST_CASE(ThenAllRoutesAreOpenWhereThereAreNoKeys)
+{
+    auto value = json::parse(configuration).as_object();
+    value.erase("tenants");
+    const auto result = readOperatorConfiguration(json::serialize(value));
+    BOOST_REQUIRE(result);
+    for (const auto& route : result.declarations().routes)
+        BOOST_TEST(route.open);
+}
+
+BOOST_AUTO_TEST_CASE(ThenAFieldOfAnotherTypeIsAProblemAndNothingElse)
+{
+    auto value = json::parse(configuration).as_object();
+    value["routes"].as_array()[0].as_object()["attempts"] = "two";
+    const auto result = readOperatorConfiguration(json::serialize(value));
+    BOOST_REQUIRE(!result);
+    BOOST_TEST(result.problems()[0].what.find("attempts") != std::string::npos);
+    BOOST_TEST(!readOperatorConfiguration("no JSON"));
+    BOOST_TEST(!readOperatorConfiguration("[]"));
+}
+
+BOOST_AUTO_TEST_CASE(ThenDamagedBytesNeverDoHarm)
+{
+    BOOST_TEST(rc::check("any damage gives declarations or problems", [] {
+        auto text = configuration;
+        const auto damages = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < damages; ++i)
+            text[*rc::gen::inRange<size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+        const auto result = readOperatorConfiguration(text);
+        RC_ASSERT(bool(result) || !result.problems().empty());
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenABackendServersNews)
+
+BOOST_AUTO_TEST_CASE(ThenAHeartbeatSaysAllAboutIt)
+{
+    const auto news = newsOf(heartbeat());
+    BOOST_REQUIRE(news);
+    BOOST_TEST((news->kind == ServerNews::Kind::Announce));
+    BOOST_TEST(news->instance == "i-1");
+    BOOST_TEST(news->endpoint == "10.0.0.9:8080");
+    BOOST_TEST(news->slots == 41u);
+    BOOST_TEST(news->life == 1700000000000u);
+    BOOST_TEST(news->sequence == 4u);
+    BOOST_TEST((news->coldLeft == milliseconds(2500)));
+}
+
+BOOST_AUTO_TEST_CASE(ThenDrainingAndLeavingAreTold)
+{
+    auto draining = heartbeat();
+    draining["state"] = "draining";
+    BOOST_TEST((newsOf(draining)->kind == ServerNews::Kind::Drain));
+    const auto left = platformDialect().serverNews(headOf("POST", "/instances/i-1/deregister"), "");
+    BOOST_REQUIRE(left);
+    BOOST_TEST((left->kind == ServerNews::Kind::Withdraw));
+    BOOST_TEST(left->instance == "i-1");
+}
+
+BOOST_AUTO_TEST_CASE(ThenOneWithAFieldMissingOrMistypedNamesNoServer)
+{
+    for (const auto* field : { "service", "address", "state", "slots", "seq" }) {
+        auto missing = heartbeat();
+        missing.erase(field);
+        BOOST_TEST(!newsOf(missing), field);
+        auto mistyped = heartbeat();
+        mistyped[field] = json::array {};
+        BOOST_TEST(!newsOf(mistyped), field);
+    }
+    auto unknown = heartbeat();
+    unknown["state"] = "resting";
+    BOOST_TEST(!newsOf(unknown));
+    auto nowhere = heartbeat();
+    nowhere["address"] = "rides.example:80";
+    BOOST_TEST(!newsOf(nowhere));
+    BOOST_TEST(!newsOf(json::value("text")));
+    BOOST_TEST(!newsOf(heartbeat(), "/instances/i-1/i-2/heartbeat"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenAnAnswerOfABackendServer)
+
+const RequestHead sent = headOf("GET", "/", { { "Request-Id", "9c41" } });
+
+AnswerKind kindOf(uint16_t status, std::vector<HeaderField> headers)
+{
+    return platformDialect().judge(sent, { status, std::move(headers), false, {} });
+}
+
+BOOST_AUTO_TEST_CASE(ThenOnlyASignedOneToThisRequestIsASuccess)
+{
+    BOOST_TEST((kindOf(200, { { "request-id", "9c41" }, { "Response-Signature", "s" } }) == AnswerKind::Genuine));
+    BOOST_TEST((kindOf(200, { { "Request-Id", "9c41" } }) == AnswerKind::Forged));
+    BOOST_TEST((kindOf(200, { { "Response-Signature", "s" } }) == AnswerKind::Forged));
+    BOOST_TEST((kindOf(200, { { "Request-Id", "7777" }, { "Response-Signature", "s" } }) == AnswerKind::Stray));
+    BOOST_TEST((kindOf(500, { { "Request-Id", "9c41" } }) == AnswerKind::Genuine));
+}
+
+BOOST_AUTO_TEST_CASE(ThenOnlyItsOwnWordSaysThatItHasNotRun)
+{
+    BOOST_TEST((kindOf(503, { { "Request-Id", "9c41" }, { "Not-Executed", "1" } }) == AnswerKind::NotRun));
+    BOOST_TEST((kindOf(421, {}) == AnswerKind::NotRun));
+    BOOST_TEST((kindOf(503, { { "Request-Id", "9c41" } }) == AnswerKind::Genuine));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenARefusal)
+
+BOOST_AUTO_TEST_CASE(ThenItsStatusPromisesNoMoreThanItsOutcome)
+{
+    for (const auto& known : reasonTable()) {
+        if (known.outcome == Outcome::Served)
+            continue;
+        const auto reply = platformDialect().refusal({ known.reason, milliseconds(250), "an-id" });
+        const bool promises = reply.status == 429 || reply.status == 503 || reply.status == 408 || reply.status == 421;
+        if (known.outcome == Outcome::Unknown)
+            BOOST_TEST(!promises, known.name);
+        if (reply.status >= 500)
+            BOOST_TEST(promises == (known.outcome == Outcome::NotRun), known.name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenItTellsWhenToComeBackToTheMillisecond)
+{
+    const auto reply = platformDialect().refusal({ Reason::ShedAtEntry, milliseconds(250), {} });
+    BOOST_TEST(headerIn(reply.headers, "Retry-After") == "0.250");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenHeadersOfACaller)
+
+BOOST_AUTO_TEST_CASE(ThenNoneOfOurOwnAndNoKeyReachesABackendServer)
+{
+    const std::vector<HeaderField> headers { { "Authorization", "Bearer secret" }, { "tenant-id", "forged" },
+        { "Caller-Service", "forged" }, { "Target-Instance", "forged" }, { "Deadline-Ms", "9" }, { "X", "kept" },
+        { "X-Copy", "the secret again" }, { "Request-Id", "9c41" } };
+    auto passedOn = headersToPassOn(platformDialect(), headers, "secret");
+    RequestContext context;
+    context.account = "north";
+    platformDialect().addEntryHeaders(context, "reports", passedOn);
+    platformDialect().addGuardHeaders({ context, milliseconds(1500), "i-1" }, passedOn);
+    BOOST_TEST(headerIn(passedOn, "Tenant-Id") == "north");
+    BOOST_TEST(headerIn(passedOn, "Caller-Service") == "reports");
+    BOOST_TEST(headerIn(passedOn, "Target-Instance") == "i-1");
+    BOOST_TEST(headerIn(passedOn, "Deadline-Ms") == "1500");
+    BOOST_TEST(headerIn(passedOn, "X") == "kept");
+    for (const auto& field : passedOn)
+        BOOST_TEST(field.value.find("secret") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
