Call what existed already, and make log texts only when a line is written

Read over the whole change. takeToken made its callback inside a coroutine, where GCC 12 releases captured owners twice, beside the plain function askQuota that was written for it and had no caller. Headers are looked up and hosts lowered in one place each. The trail and id of a request were formatted for every request, logged or not. Names of integrations stand in their table only. Comments that a replacement of names had spoilt are mended, and a stop that nobody called is gone.

One figure changes: calls to the store and their failures are counted where they are made.

--- a/src/app/NodeCommand.cpp
+++ b/src/app/NodeCommand.cpp
@@ -30,11 +30,20 @@
     constexpr std::array<IntegrationRow, 2> integrations { { { "own", ownWithAnyStore },
         { "platform", platformIntegration } } };
 
-    const IntegrationRow* integrationNamed(std::string_view name)
+    std::vector<std::string> integrationNames()
     {
-        const auto found = std::find_if(
-            integrations.begin(), integrations.end(), [&](const IntegrationRow& row) { return row.name == name; });
-        return found == integrations.end() ? nullptr : &*found;
+        std::vector<std::string> names;
+        for (const auto& row : integrations)
+            names.emplace_back(row.name);
+        return names;
+    }
+
+    // Only for names in the table, which the command line sees to.
+    const Integration& integrationNamed(std::string_view name)
+    {
+        return std::find_if(integrations.begin(), integrations.end(), [&](const IntegrationRow& row) {
+            return row.name == name;
+        })->integration();
     }
 
     // Runs a node until a signal asks it to stop.
@@ -46,7 +55,7 @@
                 ->envname("VANILLARIDGE_SETTINGS")
                 ->required();
             app.add_option("--integration", m_integration, "what the node's surroundings speak")
-                ->check(CLI::IsMember({ "own", "platform" }))
+                ->check(CLI::IsMember(integrationNames()))
                 ->capture_default_str();
         }
 
@@ -58,8 +67,8 @@
                 return ExitCode::Problems;
             }
             constexpr std::array<ExitCode, 3> codes { ExitCode::Done, ExitCode::DrainLimitReached, ExitCode::Failed };
-            return codes[static_cast<size_t>(runNode(settings.value(), integrationNamed(m_integration)->integration(),
-                [this] { return loadSettings(m_settings); }))];
+            return codes[static_cast<size_t>(runNode(
+                settings.value(), integrationNamed(m_integration), [this] { return loadSettings(m_settings); }))];
         }
 
     private:
--- a/src/dialect/Dialect.cpp
+++ b/src/dialect/Dialect.cpp
@@ -12,13 +12,6 @@
 
 } // namespace
 
-std::string_view headerIn(std::span<const HeaderField> headers, std::string_view name)
-{
-    const auto found
-        = std::find_if(headers.begin(), headers.end(), [&](const auto& field) { return sameHeader(field.name, name); });
-    return found == headers.end() ? std::string_view() : std::string_view(found->value);
-}
-
 std::optional<std::string_view> bearerKey(const RequestHead& head)
 {
     const auto value = head.header("Authorization");
--- a/src/dialect/Dialect.h
+++ b/src/dialect/Dialect.h
@@ -93,8 +93,6 @@
 constexpr std::string_view outcomeHeader = "Vanillaridge-Outcome";
 constexpr std::string_view reasonHeader = "Vanillaridge-Reason";
 
-/// First header of that name, compared without case; empty when there is none.
-std::string_view headerIn(std::span<const HeaderField>, std::string_view name);
 /// The key of an Authorization header with the Bearer scheme; nothing when there is none.
 std::optional<std::string_view> bearerKey(const RequestHead&);
 /// A header that is a whole number of milliseconds; nothing when it is missing or malformed.
--- a/src/dissemination/Directory.cpp
+++ b/src/dissemination/Directory.cpp
@@ -59,7 +59,6 @@
     // An entry that is there already says the same: it was written by an earlier life of this node.
     void writeEntry()
     {
-        board.counters().add(Counter::StoreCalls);
         objects.put(objectName(board.self().endpoint), board.self().endpoint, absentVersion,
             [weak = weak_from_this()](const StoreResult<uint64_t>& result) {
                 const auto self = weak.lock();
@@ -72,7 +71,6 @@
 
     void read()
     {
-        board.counters().add(Counter::StoreCalls);
         objects.list(nodesKind, [weak = weak_from_this()](const StoreResult<std::vector<StoredObject>>& result) {
             const auto self = weak.lock();
             if (!self || !result || !self->listener)
@@ -100,7 +98,6 @@
 
     void clean()
     {
-        board.counters().add(Counter::StoreCalls);
         objects.list(nodesKind, [weak = weak_from_this()](const StoreResult<std::vector<StoredObject>>& result) {
             const auto self = weak.lock();
             if (!self || !result)
@@ -126,15 +123,10 @@
         return gone;
     }
 
+    // The next review finds what was not removed.
     void removeEntry(const StoredObject& object)
     {
-        board.counters().add(Counter::StoreCalls);
-        objects.remove(object.name, object.version, [weak = weak_from_this()](const StoreResult<uint64_t>& result) {
-            const auto self = weak.lock();
-            // The next review finds it again.
-            if (self && !result)
-                self->board.counters().add(Counter::StoreFailures);
-        });
+        objects.remove(object.name, object.version, [](const StoreResult<uint64_t>&) {});
     }
 
     Board& board;
--- a/src/dissemination/Dissemination.cpp
+++ b/src/dissemination/Dissemination.cpp
@@ -23,10 +23,8 @@
 {
     for (auto& message : effects.messages)
         board.outbox().post(std::move(message.to), std::move(message.message));
-    for (const auto& call : effects.storeCalls) {
-        board.counters().add(Counter::StoreCalls);
+    for (const auto& call : effects.storeCalls)
         call();
-    }
     if (effects.adopted && listener)
         listener(effects.adopted);
 }
@@ -38,7 +36,7 @@
         nextReview = now + settings.reviewPeriod;
         reviewDuty();
     }
-    // 2. Watchers look at the objects.
+    // 2. Watchers look at the store.
     if (isWatcher) {
         watchManifest(now, effects);
         if (now >= nextManifestRead)
--- a/src/dissemination/Watching.cpp
+++ b/src/dissemination/Watching.cpp
@@ -118,8 +118,6 @@
                     if ((self.get()->*call).ticket == ticket)
                         self.get()->*call = {};
                 }
-                if (!result && result.error() != StoreError::NotFound)
-                    self->board.counters().add(Counter::StoreFailures);
                 (self.get()->*arrived)(result, now);
             });
     });
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -31,6 +31,11 @@
 /// Largest piece of a body handled at once.
 constexpr size_t bodyPieceBytes = 16 * 1024;
 
+/// First header of that name, compared without case; empty when there is none.
+std::string_view headerIn(std::span<const HeaderField>, std::string_view name);
+/// The text in lower case, as hosts are compared.
+std::string lowerCase(std::string_view);
+
 /// Request line and headers, as sent or received.
 struct RequestHead {
     std::string method;
@@ -40,8 +45,7 @@
     /// Absent for a body whose length is not known beforehand.
     std::optional<uint64_t> contentLength;
 
-    /// First header of that name, compared without case; empty when there is none.
-    std::string_view header(std::string_view name) const;
+    std::string_view header(std::string_view name) const { return headerIn(headers, name); }
     /// The target up to its query.
     std::string_view path() const;
 };
--- a/src/http/HttpMessages.cpp
+++ b/src/http/HttpMessages.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpMessages.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace Vanillaridge {
 
@@ -14,7 +15,15 @@
 
 bool sameHeader(std::string_view left, std::string_view right) { return beast::iequals(left, right); }
 
-std::string_view RequestHead::header(std::string_view name) const
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+        [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    return lower;
+}
+
+std::string_view headerIn(std::span<const HeaderField> headers, std::string_view name)
 {
     const auto found
         = std::find_if(headers.begin(), headers.end(), [&](const auto& field) { return sameHeader(field.name, name); });
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -239,7 +239,7 @@
 struct ConfigurationNews {
     uint64_t number { 0 };
     uint64_t contentHash { 0 };
-    /// Time since somebody read this number from the objects.
+    /// Time since somebody read this number from the store.
     Duration confirmedAgo { 0 };
     /// Whether the store answers those who watch it, as far as the sender has heard.
     bool storeReachable { false };
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -2,8 +2,6 @@
 
 #include "log/Log.h"
 
-#include <algorithm>
-#include <cctype>
 #include <fmt/format.h>
 
 namespace Vanillaridge {
@@ -15,13 +13,11 @@
     // The host that a request names, in lower case and without its port.
     std::string hostOf(const RequestHead& head)
     {
-        auto host = std::string(head.header("Host"));
+        auto host = head.header("Host");
         const auto colon = host.rfind(':');
-        if (colon != std::string::npos && host.find(']', colon) == std::string::npos)
-            host.resize(colon);
-        std::transform(host.begin(), host.end(), host.begin(),
-            [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
-        return host;
+        if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
+            host = host.substr(0, colon);
+        return lowerCase(host);
     }
 
 } // namespace
@@ -133,8 +129,7 @@
 Task<Reason> EntryRequest::takeToken()
 {
     const auto answer = std::make_shared<Mailbox<QuotaDecision>>(1);
-    auto decision = m_parts.control.quota.take(
-        m_decision.context.account, [answer](const QuotaDecision& decided) { answer->put(decided); });
+    auto decision = askQuota(answer);
     if (decision.answer == QuotaAnswer::Pending) {
         const auto decided = co_await answer->receive();
         decision = decided.value_or(QuotaDecision {});
@@ -220,7 +215,7 @@
         Attempt attempt { *choice, {}, m_parts.clock.now(), 0, std::nullopt, std::nullopt, Duration(0), Reason::None };
         const auto decision = co_await makeAttempt(attempt);
         conclude(attempt);
-        noteAttempt(attempt, decision.reason);
+        m_trail.push_back({ attempt.choice.endpoint, decision.reason, m_parts.clock.now() - attempt.sentAt });
         if (decision.step == NextStep::TryAnotherServer) {
             m_parts.board.counters().add(Counter::RetriesSpent);
             m_parts.board.counters().addRetry(decision.reason);
@@ -436,32 +431,34 @@
     co_await m_exchange->reply(std::move(reply));
 }
 
-// Called from a coroutine, so that it stays a plain function: see the developers' page.
-void EntryRequest::noteAttempt(const Attempt& attempt, Reason reason)
+// The attempts so far: node, end and milliseconds of each.
+std::string EntryRequest::trailText() const
 {
-    const auto took = std::chrono::duration_cast<milliseconds>(m_parts.clock.now() - attempt.sentAt);
-    if (!m_trail.empty())
-        m_trail += ',';
-    m_trail += fmt::format("{}:{}:{}ms", attempt.choice.endpoint, toText(reason), took.count());
+    std::string text;
+    for (const auto& step : m_trail) {
+        const auto took = std::chrono::duration_cast<milliseconds>(step.took);
+        text += fmt::format("{}{}:{}:{}ms", text.empty() ? "" : ",", step.node, toText(step.reason), took.count());
+    }
+    return text;
 }
 
 // One line for the request: what was decided, and what decided it.
 void EntryRequest::report() const
 {
     const auto& context = m_decision.context;
-    const auto own = context.attempt.request.sequence ? toText(context.attempt.request) : std::string();
-    const auto& label = m_label.empty() ? own : m_label;
+    const auto ownText = [&] { return id().sequence ? toText(id()) : std::string(); };
+    const auto label = m_label.empty() ? ownText() : m_label;
     const auto kind = m_end == Reason::None ? LogClass::Routine : LogClass::Failure;
     if (!wantsRequestLine(kind, label))
         return;
     const auto took = std::chrono::duration_cast<milliseconds>(m_parts.clock.now() - m_receivedAt);
     logRequest(kind, "request",
-        { { "id", label }, { "request", own }, { "route", context.route }, { "account", context.account },
+        { { "id", label }, { "request", ownText() }, { "route", context.route }, { "account", context.account },
             { "service", context.service }, { "importance", toText(context.importance) }, { "depth", context.depth },
             { "reason", toText(m_end) }, { "outcome", toText(row(m_end).outcome) }, { "status", m_answerStatus },
             { "configuration", m_decision.configuration ? m_decision.configuration->number() : 0 },
             { "allowed-ms", std::chrono::duration_cast<milliseconds>(context.remaining).count() },
-            { "took-ms", took.count() }, { "attempts", m_trail },
+            { "took-ms", took.count() }, { "attempts", trailText() },
             { "retry-after-ms", std::chrono::duration_cast<milliseconds>(m_retryAfter).count() } });
 }
 
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -54,7 +54,7 @@
 
     // The end.
     void report() const;
-    void noteAttempt(const Attempt&, Reason);
+    std::string trailText() const;
     Task<void> refuse(Reason, Duration retryAfter);
     void close(Outcome, uint16_t status);
     std::string_view service() const { return m_decision.context.service; }
@@ -71,8 +71,13 @@
     /// How it ended; None for an answer that was passed on whole.
     Reason m_end { Reason::None };
     Duration m_retryAfter { 0 };
-    /// Its attempts so far, for the log: node, end and milliseconds of each.
-    std::string m_trail;
+    /// One attempt that has ended, for the log.
+    struct TrailStep {
+        Endpoint node;
+        Reason reason { Reason::None };
+        Duration took { 0 };
+    };
+    std::vector<TrailStep> m_trail;
     std::string m_idempotencyKey;
     bool m_claimed { false };
     std::optional<QuotaDecision> m_token;
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -83,17 +83,16 @@
     if (hasStarted)
         m_parts.latencies.server.record(served);
 
-    const auto own = toText(id());
     const auto given = m_parts.dialect.labelIn(m_open.headers);
-    const auto label = given.empty() ? std::string_view(own) : given;
+    const auto label = given.empty() ? toText(id()) : std::string(given);
     const auto kind = m_end == Reason::None ? LogClass::Routine : LogClass::Failure;
     if (!wantsRequestLine(kind, label))
         return;
     const auto inMilliseconds = [](Duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
     const auto load = m_parts.control.admission.feedback(context().service);
     logRequest(kind, "attempt",
-        { { "id", label }, { "attempt", own }, { "entry", m_stream->peer().endpoint }, { "server", m_instance },
-            { "service", context().service }, { "importance", toText(context().importance) },
+        { { "id", label }, { "attempt", toText(id()) }, { "entry", m_stream->peer().endpoint },
+            { "server", m_instance }, { "service", context().service }, { "importance", toText(context().importance) },
             { "reason", toText(m_end) }, { "started", hasStarted }, { "status", m_status },
             { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) }, { "waited-ms", inMilliseconds(waited) },
             { "server-ms", inMilliseconds(served) }, { "running", load.running }, { "waiting", load.waiting },
--- a/src/node/LoopLag.cpp
+++ b/src/node/LoopLag.cpp
@@ -24,8 +24,6 @@
     awaitNext();
 }
 
-void LoopLag::stop() { m_timer.cancel(); }
-
 void LoopLag::awaitNext()
 {
     m_timer.async_wait([this](const boost::system::error_code& error) {
--- a/src/node/LoopLag.h
+++ b/src/node/LoopLag.h
@@ -14,7 +14,6 @@
     explicit LoopLag(boost::asio::io_context&);
 
     void start();
-    void stop();
     /// Rises at once and falls over some periods. Any thread may ask.
     Duration value() const { return Duration(m_value.load(std::memory_order_relaxed)); }
 
--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -12,7 +12,7 @@
 
 /// Settings that all nodes of a fleet share, whatever the configuration in force.
 struct QuotaSettings {
-    /// Quota slots of the fleet; each is one object in the objects. Part of the objects' names.
+    /// Quota slots of the fleet; each is one object in the store. Part of the objects' names.
     uint32_t slots { 64 };
     /// Slots that a client account spreads over if its burst allows it.
     uint32_t minimumSlotsPerAccount { 4 };
--- a/src/quota/Slots.h
+++ b/src/quota/Slots.h
@@ -37,7 +37,7 @@
         /// Waits for a whole term without a change.
         Observing,
         Held,
-        /// Not used any more, but not yet free in the objects.
+        /// Not used any more, but not yet free in the store.
         Releasing,
     };
 
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -51,7 +51,7 @@
     std::string manifest;
     /// Longest wait for the answer to one call.
     Duration timeout { seconds(2) };
-    /// This node's own limit on calls to the objects.
+    /// This node's own limit on calls to the store.
     double callsPerSecond { 4 };
     /// Calls that may be made at once after a quiet time.
     double callBurst { 100 };
--- a/tests/StoreClientTests.cpp
+++ b/tests/StoreClientTests.cpp
@@ -270,6 +270,7 @@
     clock.advance(seconds(1));
     BOOST_TEST(errorOf(get("manifests/main")) == "not-found");
     BOOST_TEST(store->calls()["get"] == 2u);
+    BOOST_TEST(counters.value(Counter::StoreCalls) == 2u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
