Say at each step of a planned stop what is still under way

The logs of a stop told neither when it passed from one step to the next nor what was running when it ended, so that a request cut by the end of the process could not be told from one that was never counted. Requests between their first byte and the end of their reply are counted by the HTTP server, since running entries miss those that wait for a token and replies that are still being written.

--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -141,6 +141,8 @@
     void drain();
     /// Connections open now.
     size_t connections() const;
+    /// Requests whose first byte has come and whose reply is not written to its end.
+    size_t exchanges() const;
 
 private:
     struct Implementation;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -35,6 +35,22 @@
         return head;
     }
 
+    /// Counts itself for as long as it lives.
+    class Counted {
+    public:
+        explicit Counted(std::atomic<size_t>& count)
+            : m_count(count)
+        {
+            ++m_count;
+        }
+        ~Counted() { --m_count; }
+        Counted(const Counted&) = delete;
+        Counted& operator=(const Counted&) = delete;
+
+    private:
+        std::atomic<size_t>& m_count;
+    };
+
 } // namespace
 
 // --- One exchange ---------------------------------------------------------------------------------------------------
@@ -222,6 +238,7 @@
     boost::asio::basic_socket_acceptor<Tcp, Strand> acceptor;
     boost::asio::steady_timer sweepTimer;
     std::atomic<bool> draining { false };
+    std::atomic<size_t> exchanges { 0 };
     std::mutex lock;
     std::set<std::shared_ptr<HttpConnection>> connections;
 };
@@ -296,6 +313,7 @@
     const bool hasBegun = co_await connection->awaitRequest();
     if (!hasBegun)
         co_return false;
+    const Counted counted(exchanges);
     auto parser = std::make_unique<Request>();
     parser->header_limit(limits.headBytes);
     parser->body_limit(boost::none);
@@ -404,4 +422,6 @@
 
 size_t HttpServer::connections() const { return m_implementation->count(); }
 
+size_t HttpServer::exchanges() const { return m_implementation->exchanges; }
+
 } // namespace Vanillaridge
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -64,6 +64,7 @@
         Task<bool> awaitLastRequest();
         Task<void> pause(Duration);
         bool idle();
+        void reportStop(std::string_view event);
 
         const Settings& m_settings;
         boost::asio::io_context m_context;
@@ -182,10 +183,19 @@
 
         // 3. Nothing runs any more.
         m_duties.stop();
-        log(LogLevel::Info, "node-stopped", { { "drained", m_end == NodeEnd::Drained } });
+        reportStop("node-stopped");
         return m_end;
     }
 
+    // A step of a planned stop, and what is still under way then. What is left at the last one has been cut.
+    void Node::reportStop(std::string_view event)
+    {
+        log(LogLevel::Info, event,
+            { { "drained", m_end == NodeEnd::Drained }, { "exchanges", m_callers.exchanges() + m_servers.exchanges() },
+                { "connections", m_callers.connections() }, { "entries", m_board.entries().size() },
+                { "attempts", m_board.attempts().size() } });
+    }
+
     Task<void> Node::awaitReloads()
     {
         boost::system::error_code error;
@@ -252,7 +262,7 @@
     // Others hear of it while everything goes on. Duties that others can take up are given up at once.
     void Node::beginLeaving()
     {
-        log(LogLevel::Info, "node-draining");
+        reportStop("node-draining");
         m_board.startDraining();
         m_control.quota.release();
     }
@@ -262,6 +272,7 @@
     {
         m_board.startRefusingAttempts();
         m_callers.drain();
+        reportStop("node-takes-nothing-new");
     }
 
     void Node::sayGoodbye(bool idle)
@@ -272,6 +283,7 @@
                 { { "entries", m_board.entries().size() }, { "attempts", m_board.attempts().size() } });
         }
         m_control.membership.leave();
+        reportStop("node-leaves");
     }
 
 } // namespace
