--- a/tests/ProcessTests.cpp
+++ b/tests/ProcessTests.cpp
@@ -14,35 +14,6 @@
 
 namespace {
 
-std::map<std::string, std::string> withKey(const std::string& account = "north")
-{
-    return { { "Authorization", "Bearer " + testKey(account) } };
-}
-
-HttpCall read(const std::string& service, const std::string& account = "north")
-{
-    return { "GET", "/" + service + "/read/1", withKey(account), {} };
-}
-
-HttpCall write(const std::string& service, const std::string& name)
-{
-    return { "POST", "/" + service + "/write/" + name, withKey(), "signature" };
-}
-
-// How often each target was begun at the backend servers of the fleet.
-std::map<std::string, int> begunByTarget(Fleet& fleet)
-{
-    std::map<std::string, int> begun;
-    for (size_t i = 0; i < fleet.size(); ++i) {
-        const auto log = fleet.node(i).serverLog();
-        if (const auto* requests = log.if_contains("requests")) {
-            for (const auto& request : requests->as_array())
-                ++begun[request.at("target").as_string().c_str()];
-        }
-    }
-    return begun;
-}
-
 uint64_t requestsWithKey(Fleet& fleet)
 {
     uint64_t count = 0;
@@ -62,19 +33,6 @@
     return text;
 }
 
-// Answered several times in a row: tokens and servers are there.
-bool warm(FleetNode& node, const std::string& service)
-{
-    constexpr int inARow = 20;
-    return eventually([&] {
-        for (int i = 0; i < inARow; ++i) {
-            if (callHttp(node.callers(), read(service)).status != 200)
-                return false;
-        }
-        return true;
-    });
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GivenAChainOfServicesSevenDeep)
@@ -166,14 +124,14 @@
 BOOST_AUTO_TEST_CASE(ThenItStopsWorkingOnConnectionsThatAreOpen)
 {
     HttpConnection connection(entry().callers());
-    BOOST_REQUIRE(connection.call(read("ledger")).status == 200u);
+    BOOST_REQUIRE(connection.call(readCall("ledger")).status == 200u);
     auto manifest = testManifest({ "ledger" });
     const auto digest = toHex(digestOfKey(testKey("north")));
     manifest.replace(manifest.find(digest), digest.size(), toHex(digestOfKey("another key")));
     BOOST_REQUIRE(fleet.apply(manifest));
     BOOST_TEST(eventually(
-        [&] { return connection.call(read("ledger")).reason() == "unknown-key"; }, std::chrono::seconds(13)));
-    BOOST_TEST(connection.call(read("ledger", "south")).status == 200u);
+        [&] { return connection.call(readCall("ledger")).reason() == "unknown-key"; }, std::chrono::seconds(13)));
+    BOOST_TEST(connection.call(readCall("ledger", "south")).status == 200u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -187,7 +145,7 @@
     const auto send = [&](int from, int to) {
         for (int i = from; i < to; ++i) {
             const auto name = std::to_string(i);
-            answers["/ledger/write/" + name] = callHttp(entry().callers(), write("ledger", name));
+            answers["/ledger/write/" + name] = callHttp(entry().callers(), writeCall("ledger", name));
         }
     };
     send(0, 20);
@@ -222,7 +180,7 @@
     fleet.node(0).process().signal(SIGSTOP);
     BOOST_TEST(eventually([&] {
         for (int i = 0; i < 10; ++i) {
-            if (callHttp(entry().callers(), read("ledger")).status != 200)
+            if (callHttp(entry().callers(), readCall("ledger")).status != 200)
                 return false;
         }
         return true;
@@ -238,7 +196,7 @@
 {
     fleet.node(0).serverProcess().signal(SIGTERM);
     for (int i = 0; i < 20; ++i)
-        BOOST_TEST(callHttp(entry().callers(), read("ledger")).status == 200u);
+        BOOST_TEST(callHttp(entry().callers(), readCall("ledger")).status == 200u);
     BOOST_TEST(fleet.node(0).serverProcess().awaitEnd(std::chrono::seconds(20)).value_or(-1) == 0);
 }
 
@@ -286,7 +244,7 @@
 {
     fleet.storeFault(R"({"down":"refuse"})");
     for (int i = 0; i < 20; ++i)
-        BOOST_TEST(callHttp(entry().callers(), read("ledger")).status == 200u);
+        BOOST_TEST(callHttp(entry().callers(), readCall("ledger")).status == 200u);
     fleet.node(1).kill();
     fleet.node(1).start();
     BOOST_TEST(eventually([&] { return fleet.node(1).metric("vanillaridge_configuration_number") > 0; }));
@@ -296,7 +254,7 @@
 {
     fleet.storeFault(R"({"loseAnswers":true})");
     for (int i = 0; i < 20; ++i)
-        BOOST_TEST(callHttp(entry().callers(), read("ledger")).status == 200u);
+        BOOST_TEST(callHttp(entry().callers(), readCall("ledger")).status == 200u);
     fleet.node(0).kill();
     fleet.node(0).start();
     BOOST_TEST(eventually([&] { return fleet.node(0).ready(); }));
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -99,6 +99,13 @@
     return parseObject(callHttp(m_server, { "GET", "/stand-in/log", {}, {} }).body);
 }
 
+bool FleetNode::hasLogged(const std::string& event) const
+{
+    std::ifstream file(m_log);
+    const std::string text((std::istreambuf_iterator<char>(file)), {});
+    return text.find("event=" + event + " ") != std::string::npos;
+}
+
 // --- The fleet ------------------------------------------------------------------------------------------------------
 
 Fleet::Fleet()
@@ -201,6 +208,48 @@
 
 std::string testKey(const std::string& account) { return "key-of-" + account; }
 
+std::map<std::string, std::string> withKey(const std::string& account)
+{
+    return { { "Authorization", "Bearer " + testKey(account) } };
+}
+
+HttpCall readCall(const std::string& service, const std::string& account)
+{
+    return { "GET", "/" + service + "/read/1", withKey(account), {} };
+}
+
+HttpCall writeCall(const std::string& service, const std::string& name)
+{
+    return { "POST", "/" + service + "/write/" + name, withKey(), "signature" };
+}
+
+bool warm(FleetNode& node, const std::string& service)
+{
+    constexpr int inARow = 20;
+    return eventually([&] {
+        for (int i = 0; i < inARow; ++i) {
+            if (callHttp(node.callers(), readCall(service)).status != 200)
+                return false;
+        }
+        return true;
+    });
+}
+
+std::map<std::string, int> begunByTarget(Fleet& fleet)
+{
+    std::map<std::string, int> begun;
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        if (!fleet.node(i).hasServer())
+            continue;
+        const auto log = fleet.node(i).serverLog();
+        if (const auto* requests = log.if_contains("requests")) {
+            for (const auto& request : requests->as_array())
+                ++begun[request.at("target").as_string().c_str()];
+        }
+    }
+    return begun;
+}
+
 std::string testManifest(const std::vector<std::string>& services, double rate, double burst)
 {
     std::string text = "[policy]\nquota = \"conserved\"\nmaximum-depth = 8\nretries-per-request = 3\n\n";
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -115,6 +115,8 @@
     // What the backend server began to work on, as its stand-in remembers it.
     boost::json::object serverLog() const;
     std::filesystem::path logFile() const { return m_log; }
+    // Whether the node has written a line about this event.
+    bool hasLogged(const std::string& event) const;
 
 private:
     Fleet& m_fleet;
@@ -166,6 +168,14 @@
 
 // Keys of the manifest that testManifest makes: "key-of-<account>".
 std::string testKey(const std::string& account);
+std::map<std::string, std::string> withKey(const std::string& account = "north");
+// Calls to the routes of that manifest.
+HttpCall readCall(const std::string& service, const std::string& account = "north");
+HttpCall writeCall(const std::string& service, const std::string& name);
+// Whether the node answers several reads in a row, which it does once tokens and servers are there.
+bool warm(FleetNode&, const std::string& service);
+// How often each target was begun at the backend servers of the fleet.
+std::map<std::string, int> begunByTarget(Fleet&);
 // A manifest with the given services in a chain, accounts "north" and "south", and routes /<service>/read (idempotent),
 // /<service>/write (not) and /<service>/open (open to all).
 std::string testManifest(const std::vector<std::string>& services, double rate = 10000, double burst = 20000);
