Stop reading from a backend server that sends without end

A backend server in trouble may send bytes that are no answer without end, in a head or in a body, until its caller closes. Heads, chunk framing and trailers were bounded by the size of the buffer; interim answers, answers to other requests and bodies of failures were read until the request's deadline, as fast as they came, which took the processor time of everybody else on the node.

Now sixteen answers that are not the request's own are passed over, a megabyte of the body of one, and a megabyte of the body of a failure; then the call ends as cut, with the outcome that a cut answer has.

HttpTests, cases of GivenABackendServerThatSendsBytesWithoutEnd: five of ten failed before (the server had sent 64 MiB and was still read), none after.

--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 #include <deque>
+#include <limits>
 #include <map>
 #include <mutex>
 
@@ -18,6 +19,13 @@
     constexpr Duration reuseLimit = seconds(1);
     constexpr size_t idleConnectionsPerServer = 256;
     constexpr uint32_t answerHeadBytes = 64 * 1024;
+    // A backend server in trouble may send without end. What says nothing to the caller is read so far and no further:
+    // interim answers and those of other requests, and the body of a failure.
+    constexpr uint32_t answersPassedOver = 16;
+    constexpr uint64_t strayBodyBytes = 1024 * 1024;
+    constexpr uint64_t failureBodyBytes = 1024 * 1024;
+    constexpr uint64_t noLimit = std::numeric_limits<uint64_t>::max();
+    constexpr uint16_t firstFailure = 400;
 
     // An open connection that no call uses.
     struct IdleConnection {
@@ -92,6 +100,8 @@
     std::unique_ptr<Response> parser;
     bool requestWritten { false };
     bool aborted { false };
+    /// Bytes of the present answer's body that are still read.
+    uint64_t bodyLeft { noLimit };
 };
 
 BackendCall::BackendCall(std::unique_ptr<Implementation> implementation)
@@ -135,6 +145,7 @@
 // Reads an answer to its end and forgets it; false when it does not end as it should.
 Task<bool> BackendCall::skipAnswer()
 {
+    m_implementation->bodyLeft = strayBodyBytes;
     while (true) {
         const auto piece = co_await readBody();
         if (piece.end != BodyEnd::More)
@@ -145,7 +156,7 @@
 Task<std::optional<ReplyHead>> BackendCall::readHead(StrayTest isStray)
 {
     auto& self = *m_implementation;
-    while (true) {
+    for (uint32_t passedOver = 0; passedOver < answersPassedOver; ++passedOver) {
         // 1. The head; interim answers are passed over.
         self.parser = std::make_unique<Response>();
         self.parser->header_limit(answerHeadBytes);
@@ -167,18 +178,24 @@
         head.hasBody = !self.parser->is_done();
 
         // 3. Kept, unless it belongs to another request.
+        self.bodyLeft = head.status < firstFailure ? noLimit : failureBodyBytes;
         if (!isStray || !isStray(head))
             co_return head;
         const bool skipped = co_await skipAnswer();
         if (!skipped || !self.parser->keep_alive())
             co_return std::nullopt;
     }
+    co_return std::nullopt;
 }
 
 Task<BodyPiece> BackendCall::readBody()
 {
     auto& self = *m_implementation;
-    co_return co_await readPiece(self.socket, self.buffer, *self.parser);
+    auto piece = co_await readPiece(self.socket, self.buffer, *self.parser);
+    if (piece.bytes.size() > self.bodyLeft)
+        co_return BodyPiece { {}, BodyEnd::Cut };
+    self.bodyLeft -= piece.bytes.size();
+    co_return piece;
 }
 
 void BackendCall::abort()
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -163,8 +163,10 @@
     Task<bool> writeBody(std::string_view bytes, bool last);
     /// Tells an answer that belongs to some other request.
     using StrayTest = std::function<bool(const ReplyHead&)>;
-    /// The answer's head; nothing when the connection ended before it came. Stray answers are passed over.
+    /// The answer's head; nothing when the connection ended before it came, or too much came that is no answer to this
+    /// request. A few stray answers are passed over.
     Task<std::optional<ReplyHead>> readHead(StrayTest isStray = {});
+    /// The next piece of the answer's body. That of a failure is cut when it gets too long.
     Task<BodyPiece> readBody();
 
     /// Closes the connection, which tells the backend server that the answer is no longer wanted. Reads and writes
--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -289,8 +289,125 @@
     return answer;
 }
 
+// A backend server that answers with a beginning and then with the same bytes again and again, until its caller closes
+// or more has been taken than the buffers of a connection hold.
+struct Endless {
+    Endless(std::string beginning, std::string again)
+        : thread([this, beginning = std::move(beginning), again = std::move(again)] { serve(beginning, again); })
+    {
+    }
+
+    void serve(const std::string& beginning, const std::string& again)
+    {
+        Tcp::socket socket(context);
+        acceptor.accept(socket);
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer(beginning), error);
+        std::string block;
+        while (block.size() < blockBytes)
+            block += again;
+        for (size_t sent = 0; !error && sent < takenAtMost; sent += block.size())
+            boost::asio::write(socket, boost::asio::buffer(block), error);
+        callerClosed = static_cast<bool>(error);
+    }
+
+    Endpoint endpoint() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+
+    static constexpr size_t blockBytes = 64 * 1024;
+    static constexpr size_t takenAtMost = size_t(64) << 20;
+    boost::asio::io_context context;
+    Tcp::acceptor acceptor { context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0) };
+    bool callerClosed { false };
+    std::jthread thread;
+};
+
+// Calls an endless server and gives up where the call ends; whether that was before all was taken.
+bool endsInTime(const std::string& beginning, const std::string& again)
+{
+    Endless server(beginning, again);
+    boost::asio::io_context context { 1 };
+    BackendPool pool(context);
+    const auto strand = boost::asio::make_strand(context);
+    const auto isStray = [](const ReplyHead& reply) { return reply.status == 299; };
+    const auto call = [&]() -> Task<void> {
+        const auto connection = co_await pool.connect(server.endpoint(), strand, seconds(1));
+        BOOST_REQUIRE(connection);
+        RequestHead head { "GET", "/", { { "Host", "a" } }, false, std::nullopt };
+        co_await connection->writeHead(std::move(head));
+        const auto reply = co_await connection->readHead(isStray);
+        BodyEnd end = reply ? BodyEnd::More : BodyEnd::Cut;
+        while (end == BodyEnd::More) {
+            const auto piece = co_await connection->readBody();
+            end = piece.end;
+        }
+        BOOST_TEST((end == BodyEnd::Cut));
+    };
+    boost::asio::co_spawn(strand, call, boost::asio::detached);
+    context.run();
+    server.thread.join();
+    return server.callerClosed;
+}
+
+const std::string endlessBody = "Transfer-Encoding: chunked\r\n\r\n";
+const std::string chunk = "4\r\nmore\r\n";
+
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(GivenABackendServerThatSendsBytesWithoutEnd)
+
+BOOST_AUTO_TEST_SUITE(WhenTheyAreNoAnswer)
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEnds) { BOOST_TEST(endsInTime("", "nonsense")); }
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheyAreInAHead)
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInOneLine) { BOOST_TEST(endsInTime("HTTP/1.1 200 OK\r\nLong: ", "x")); }
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInManyLines) { BOOST_TEST(endsInTime("HTTP/1.1 200 OK\r\n", "A: b\r\n")); }
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInInterimAnswers) { BOOST_TEST(endsInTime("", "HTTP/1.1 102 P\r\n\r\n")); }
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheyBelongToAnotherRequest)
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInOneBody)
+{
+    BOOST_TEST(endsInTime("HTTP/1.1 299 Stray\r\n" + endlessBody, chunk));
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInManyAnswers)
+{
+    BOOST_TEST(endsInTime("", "HTTP/1.1 299 Stray\r\nContent-Length: 2\r\n\r\nno"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheyAreTheBodyOfAFailure)
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInChunks)
+{
+    BOOST_TEST(endsInTime("HTTP/1.1 500 Failed\r\n" + endlessBody, chunk));
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsWithoutALength) { BOOST_TEST(endsInTime("HTTP/1.1 500 Failed\r\n\r\n", "more")); }
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInTheFramingOfAChunk)
+{
+    BOOST_TEST(endsInTime("HTTP/1.1 200 OK\r\n" + endlessBody + "4;", "extension=of-a-chunk;"));
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheCallEndsInTrailers)
+{
+    BOOST_TEST(endsInTime("HTTP/1.1 200 OK\r\n" + endlessBody + "0\r\n", "A: b\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(GivenABackendServer)
 
 BOOST_AUTO_TEST_CASE(ThenCallsOneAfterTheOtherShareAConnection)
