--- a/src/drain/Drain.cpp
+++ b/src/drain/Drain.cpp
@@ -60,7 +60,8 @@
 
 bool Drain::hasLeft(const OpenWork& open) const
 {
-    return m_clock.now() - m_stepBegan >= farewellTime && (!open.unsent || isPastLimit());
+    const bool isDone = !open.unsent && !open.connections;
+    return m_clock.now() - m_stepBegan >= farewellTime && (isDone || isPastLimit());
 }
 
 bool Drain::isAnswered(const OpenWork& open) const
--- a/src/drain/Drain.h
+++ b/src/drain/Drain.h
@@ -14,7 +14,7 @@
     Announcing,
     /// New work is refused. Attempts run on, and so do the calls that their backend servers make through this node.
     Finishing,
-    /// Nothing comes in any more; what came in is answered.
+    /// No request comes in any more; what came in is answered.
     Closing,
     /// The last messages to other nodes are on their way.
     Leaving,
@@ -25,7 +25,7 @@
 
 /// What the front ends and transports of a stopping node still have under way.
 struct OpenWork {
-    /// Connections over which a request may come, is being read, or is being answered.
+    /// Connections over which a request of a caller may come, and those that carry any.
     size_t connections { 0 };
     /// Connections to other nodes with messages that are not written yet.
     size_t unsent { 0 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -58,7 +58,7 @@
         void enter(StopStep);
         void giveUpDuties();
         void finishWork();
-        void closeIntake();
+        void closeToCallers();
         void sayGoodbye();
         void end();
         OpenWork openWork() const;
@@ -243,12 +243,12 @@
     void Node::enter(StopStep step)
     {
         constexpr std::array<void (Node::*)(), stopStepCount> actions { &Node::giveUpDuties, &Node::finishWork,
-            &Node::closeIntake, &Node::sayGoodbye, &Node::end };
+            &Node::closeToCallers, &Node::sayGoodbye, &Node::end };
         reportStop(toText(step));
         (this->*actions[static_cast<size_t>(step)])();
     }
 
-    OpenWork Node::openWork() const { return { m_callers.connections() + m_servers.connections(), m_peers.unsent() }; }
+    OpenWork Node::openWork() const { return { m_callers.connections() + m_servers.exchanges(), m_peers.unsent() }; }
 
     Task<void> Node::pause(Duration time)
     {
@@ -262,14 +262,12 @@
 
     void Node::finishWork() { m_callers.closeAfterReplies(); }
 
-    void Node::closeIntake()
-    {
-        m_callers.drain();
-        m_servers.drain();
-    }
+    void Node::closeToCallers() { m_callers.drain(); }
 
+    // A backend server can tell its node that it leaves for as long as there is somebody to tell others.
     void Node::sayGoodbye()
     {
+        m_servers.drain();
         if (m_drain.limitReached())
             reportStop("drain-limit-reached", LogLevel::Warning);
         m_control.membership.leave();
