Do not ask for a verdict, nor blame a server, when the caller has left

What callers saw: under load, with callers giving up, servers that were well were set aside, and nodes of the deepest services were busy with handshakes.

Cause: when a caller left, its stream to the guard was closed at once. The entry then saw a lost connection, opened a fresh one to ask whether the request had started, counted the answer "not started" as an unreachable node, and three of these in a row set the server aside. A caller that had left before its request was sent counted the same way.

Now the guard is told that the caller has left, and its refusal on the same stream says whether the request had started. If that stream is lost too, nobody is left to be told, and nobody is asked. The request's line says caller-gone.

LeavingCallerTests failed before (a connection more after each caller that left; peer-unreachable 1 for one that left while it waited) and passes.

--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -175,15 +175,22 @@
         self->m_timedOut = true;
         self->cancelAttempt(Reason::Timeout);
     });
-    if (!m_exchange->head().hasBody) {
-        m_exchange->onCallerGone([weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            self->m_callerGone = true;
-            self->cancelAttempt(Reason::CallerGone);
-        });
-    }
+    if (!m_exchange->head().hasBody)
+        watchCaller();
+}
+
+// The guard is told and asked to end the attempt, which it confirms by its refusal: so nobody has to ask it for a
+// verdict.
+void EntryRequest::watchCaller()
+{
+    m_exchange->onCallerGone([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->m_callerGone = true;
+        if (self->m_stream)
+            self->m_stream->send(CancelRequest { Reason::CallerGone });
+    });
 }
 
 void EntryRequest::cancelAttempt(Reason reason)
@@ -214,7 +221,8 @@
         Attempt attempt { *choice, {}, m_parts.clock.now(), 0, std::nullopt, std::nullopt, Duration(0), Reason::None };
         const auto decision = co_await makeAttempt(attempt);
         conclude(attempt);
-        m_trail.push_back({ attempt.choice.endpoint, decision.reason, m_parts.clock.now() - attempt.sentAt });
+        const auto ended = attempt.reason != Reason::None ? attempt.reason : decision.reason;
+        m_trail.push_back({ attempt.choice.endpoint, ended, m_parts.clock.now() - attempt.sentAt });
         if (decision.step == NextStep::TryAnotherServer) {
             m_parts.board.counters().add(Counter::RetriesSpent);
             m_parts.board.counters().addRetry(decision.reason);
@@ -259,7 +267,9 @@
     if (m_exchange->callerGone()) {
         m_callerGone = true;
         attempt.usedBelow = 0;
-        co_return co_await endWithoutAnswer(attempt, AttemptEnd::NeverSent);
+        auto decision = co_await endWithoutAnswer(attempt, AttemptEnd::NeverSent);
+        attempt.reason = Reason::CallerGone;
+        co_return decision;
     }
     sendOpen(attempt);
     const auto decision = co_await awaitAnswer(attempt);
@@ -333,6 +343,8 @@
         co_return *decision;
     if (end == AttemptEnd::TimedOut)
         co_return Decision { NextStep::AnswerCaller, Reason::Timeout };
+    if (m_callerGone)
+        co_return Decision { NextStep::AnswerCaller, Reason::CallerGone };
 
     // 2. What the guard says, over a fresh connection.
     const auto query = control.entryLedger.verdictQuery(attempt.id);
@@ -411,7 +423,7 @@
 {
     // 1. What went wrong with the caller itself says more than what followed from it.
     if (m_callerGone)
-        reason = row(reason).outcome == Outcome::NotRun ? reason : Reason::CallerGone;
+        reason = Reason::CallerGone;
     else if (m_body && m_body->failure() != Reason::None && row(reason).outcome == Outcome::Unknown)
         reason = m_body->failure();
     m_parts.board.counters().add(Counter::RequestsRefused);
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -39,6 +39,7 @@
     QuotaDecision askQuota(const std::shared_ptr<Mailbox<QuotaDecision>>&);
     void open();
     void watch();
+    void watchCaller();
 
     // Attempts.
     Task<void> serve();
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -73,7 +73,6 @@
         m_failure = Reason::BodyTooLarge;
     if (m_failure != Reason::None) {
         stream.send(CancelRequest { m_failure });
-        stream.close();
         co_return false;
     }
 
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -64,6 +64,8 @@
     explicit HttpConnection(const std::string& endpoint);
     ~HttpConnection();
     HttpAnswer call(const HttpCall&);
+    // Sends a request and does not wait for its answer.
+    void send(const HttpCall&);
     // Sends raw bytes, and returns what comes back until the other side closes or the patience ends.
     std::string exchangeRaw(const std::string& bytes, std::chrono::milliseconds patience);
 
@@ -72,6 +74,19 @@
     std::unique_ptr<State> m_state;
 };
 
+// Sends a call at once, and leaves without its answer when it goes out of scope.
+class LeavingCaller {
+public:
+    LeavingCaller(const std::string& endpoint, const HttpCall& call)
+        : m_connection(endpoint)
+    {
+        m_connection.send(call);
+    }
+
+private:
+    HttpConnection m_connection;
+};
+
 // Calls the test until it holds; false when the limit passes first.
 bool eventually(const std::function<bool()>& test, std::chrono::milliseconds limit = std::chrono::seconds(30));
 
--- a/tests/fleet/HttpCalls.cpp
+++ b/tests/fleet/HttpCalls.cpp
@@ -50,13 +50,8 @@
 
 HttpConnection::~HttpConnection() = default;
 
-HttpAnswer HttpConnection::call(const HttpCall& call)
+void HttpConnection::send(const HttpCall& call)
 {
-    HttpAnswer answer;
-    if (!m_state->connected)
-        return answer;
-
-    // 1. The request.
     http::request<http::string_body> request;
     request.method_string(call.method);
     request.target(call.target);
@@ -68,8 +63,16 @@
     request.prepare_payload();
     m_state->stream.expires_after(call.patience);
     m_state->run([&](auto done) { http::async_write(m_state->stream, request, std::move(done)); });
+}
+
+HttpAnswer HttpConnection::call(const HttpCall& call)
+{
+    HttpAnswer answer;
+    if (!m_state->connected)
+        return answer;
+    send(call);
 
-    // 2. The answer, also when the request could not be written to its end.
+    // The answer, also when the request could not be written to its end.
     http::response_parser<http::string_body> parser;
     parser.body_limit(largestAnswer);
     parser.skip(call.method == "HEAD");
