Notice callers that leave after they have sent a body

What callers saw: work went on for callers that had left. The connection of a caller was watched only for requests without a body, so that a booking that waited for its turn was started, and one that nobody waited for ran on until its deadline.

Now the connection is watched from the end of the body on. A request that waits is given up. A write that has started is finished: its caller may ask for it later, and one that is broken off in the middle has no known outcome.

LeavingCallerTests: ThenAWriteIsGivenUpAndTheServersNodeIsNotTakenForUnreachable failed before (no caller-gone until the deadline) and passes.

--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -160,7 +160,10 @@
     }
     m_parts.control.entryLedger.open(m_decision.context, m_decision.deadline, parent, true);
     m_parts.control.retry.noteFirstTry(service());
-    m_body = std::make_shared<RequestBody>(m_exchange, m_decision.route->bodyLimit);
+    m_body = std::make_shared<RequestBody>(m_exchange, m_decision.route->bodyLimit, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->watchCaller();
+    });
     watch();
 }
 
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -365,10 +365,17 @@
     });
 }
 
+// Whether the attempt goes on although nobody waits for its answer: a write that has started is better whole than
+// broken off.
+bool GuardAttempt::outlives(Reason reason) const
+{
+    return reason == Reason::CallerGone && !context().idempotent && m_startedAt != Instant() && !m_sendingBody;
+}
+
 // Nobody waits for the answer any more: what waits is given up, and what runs is told by closing its connection.
 void GuardAttempt::cancel(Reason reason)
 {
-    if (m_ended || m_cancelled != Reason::None)
+    if (m_ended || m_cancelled != Reason::None || outlives(reason))
         return;
     m_cancelled = reason;
     m_parts.board.counters().add(Counter::RequestsCancelled);
--- a/src/node/GuardAttempt.h
+++ b/src/node/GuardAttempt.h
@@ -33,6 +33,7 @@
     void take(StreamMessage);
     void watchDeadline();
     void cancel(Reason);
+    bool outlives(Reason) const;
     void refuse(Reason, bool started, Duration retryAfter = Duration(0));
     void endAdmission(AdmittedEnd);
     void report() const;
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -12,9 +12,10 @@
 
 } // namespace
 
-RequestBody::RequestBody(std::shared_ptr<HttpExchange> exchange, uint64_t limit)
+RequestBody::RequestBody(std::shared_ptr<HttpExchange> exchange, uint64_t limit, std::function<void()> onComplete)
     : m_exchange(std::move(exchange))
     , m_limit(limit)
+    , m_onComplete(std::move(onComplete))
 {
 }
 
@@ -79,6 +80,8 @@
     // 2. Kept before it is sent, so that nothing is lost if the stream ends meanwhile.
     keep(piece.bytes);
     m_complete = piece.end == BodyEnd::Last;
+    if (m_complete)
+        m_onComplete();
     BodyChunk chunk { std::move(piece.bytes), m_complete };
     co_return co_await stream.sendBody(std::move(chunk));
 }
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -4,6 +4,8 @@
 #include "http/Http.h"
 #include "peer/Peer.h"
 
+#include <functional>
+
 namespace Vanillaridge {
 
 /// Reads the body from the exchange as room appears in the attempt's stream. What has been read is kept while it is
@@ -11,7 +13,8 @@
 /// Used on the exchange's strand only.
 class RequestBody : public std::enable_shared_from_this<RequestBody> {
 public:
-    RequestBody(std::shared_ptr<HttpExchange>, uint64_t limit);
+    /// \param limit bytes \param onComplete called once, when the body has been read to its end
+    RequestBody(std::shared_ptr<HttpExchange>, uint64_t limit, std::function<void()> onComplete);
 
     /// Whether all that was read can be sent again.
     bool replayable() const { return m_replayable; }
@@ -31,6 +34,7 @@
 
     std::shared_ptr<HttpExchange> m_exchange;
     const uint64_t m_limit;
+    const std::function<void()> m_onComplete;
     std::string m_kept;
     bool m_replayable { true };
     bool m_complete { false };
--- a/tests/LeavingCallerTests.cpp
+++ b/tests/LeavingCallerTests.cpp
@@ -34,6 +34,10 @@
         call.target += "?milliseconds=60000";
         return call;
     }
+    static HttpCall longWrite(int milliseconds = 60'000)
+    {
+        return writeCall("ledger", "long?milliseconds=" + std::to_string(milliseconds));
+    }
 
     double connections() { return entry().metric("vanillaridge_peer_connections_opened_total"); }
     double refusals(const std::string& reason)
@@ -72,10 +76,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenItsWriteRuns)
+
+BOOST_AUTO_TEST_CASE(ThenItIsFinished)
+{
+    const auto answered = [&] { return guard().serverLog().at("answered").to_number<int>(); };
+    const int before = answered();
+    leaveWhenGuardHolds(1, longWrite(1000));
+    BOOST_TEST(eventually([&] { return answered() == before + 1; }));
+    BOOST_TEST(guard().metric("vanillaridge_requests_cancelled_total") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenItsRequestWaitsForItsTurn)
 
 BOOST_AUTO_TEST_CASE(ThenAReadIsGivenUpAndTheServersNodeIsNotTakenForUnreachable) { checkWaiting(longRead()); }
 
+BOOST_AUTO_TEST_CASE(ThenAWriteIsGivenUpAndTheServersNodeIsNotTakenForUnreachable) { checkWaiting(longWrite()); }
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
