Refuse at the first guard what would be shed further down

Cause: an entry sheds by levels that answers tell for one account on one route. With 58 entries and 71 accounts most of these flows have a request every few seconds, while a level is believed for one or two. So the met office told that everything below the most important class was to be shed, and entries went on sending it; its work was started and failed five calls deep, and took the room of bookings.

The guards of the first service see all requests of a route, and hear of the load below with each call. They now refuse by the same rank that is used everywhere, before anything is done, and their refusal tells the entry. One in a hundred passes to learn when it ends, and what passes stands for what does not, so that the demand is still seen below.

OverloadTests compared the product with itself without edge shedding. AdmissionTests: WhenAServiceFurtherDownIsOverloaded failed before.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -14,6 +14,9 @@
     constexpr double requestsToLearn = 8;
     // Age at which a shed record counts no more.
     constexpr Duration shedRecordLife = seconds(1);
+    // Requests that pass although they would be shed further down, to learn when that ends: about one a second at each
+    // guard while a hundred come.
+    constexpr double probeFraction = 0.01;
 
     // Lag of this node from which on work is shed for it where it enters, and how much more sheds a whole class. A
     // request of the deployments served passes a lagging node some twenty times (five calls in a row, each there and
@@ -129,6 +132,27 @@
         return level;
     }
 
+    // Whether a request that enters the tree here would be shed further down, so that all work for it would be wasted.
+    // The guards of a service see all its requests, and know such loads when an entry that has few of them does not.
+    bool isShedBelow(const RequestContext& context)
+    {
+        if (strategy != AdmissionStrategy::Adaptive || !context.parentKnown || context.depth > 1)
+            return false;
+        const double level = shedLevelBelow(context);
+        const double survival = survivalAt(context.importance, level);
+        if (survival >= 1)
+            return false;
+        if (shedRank(context) < level && random.unit() >= probeFraction)
+            return true;
+
+        // What passes stands for what does not, so that the demand is seen where it is too high.
+        board.attempts().visit(context.attempt, [&](AttemptRecord& record) {
+            const double passing = survival + (1 - survival) * probeFraction;
+            record.context.represents = std::max(record.context.represents, 1 / passing);
+        });
+        return false;
+    }
+
     Board& board;
     Clock& clock;
     RandomSource& random;
@@ -151,6 +175,8 @@
         return { AdmissionVerdict::Refused, Reason::NoServer };
     if (announcement->draining || m_state->board.draining())
         return { AdmissionVerdict::Refused, Reason::Draining };
+    if (m_state->isShedBelow(context))
+        return { AdmissionVerdict::Refused, Reason::ShedAtGuard };
     auto& gate = m_state->gateOf(context.service);
     if (gate.wantsSettings())
         gate.configure(m_state->settingsOf(context.service, *announcement));
--- a/src/admission/Admission.h
+++ b/src/admission/Admission.h
@@ -47,7 +47,14 @@
 };
 
 /// Ways to control admission. Adaptive is the product's; the others are baselines for measurement.
-enum class AdmissionStrategy : uint8_t { Adaptive, NoControl, StaticLimit, QueueDelay };
+enum class AdmissionStrategy : uint8_t {
+    Adaptive,
+    NoControl,
+    StaticLimit,
+    QueueDelay,
+    /// Like Adaptive, but without regard to loads further down.
+    AdaptiveAlone,
+};
 
 class Admission {
 public:
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -32,11 +32,12 @@
 
 } // namespace
 
-const std::array<Gate::StrategyRow, 4> Gate::strategies { {
+const std::array<Gate::StrategyRow, 5> Gate::strategies { {
     { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::placeByWorth, &Gate::isDroppedUnlessCritical, 1 },
     { &Gate::noLimit, &Gate::isNeverShed, &Gate::placeByArrival, &Gate::isNeverDropped, 1 },
     { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::placeByArrival, &Gate::isDroppedAtLimit, 1 },
     { &Gate::declaredLimit, &Gate::isNeverShed, &Gate::placeByArrival, &Gate::isDroppedByDelay, 100 },
+    { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::placeByWorth, &Gate::isDroppedUnlessCritical, 1 },
 } };
 
 Gate::Gate(Clock& clock, RandomSource& random, AdmissionStrategy strategy)
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -58,7 +58,7 @@
         bool (Gate::*isDropped)(const Ticket&, Instant);
         double queueFactor;
     };
-    static const std::array<StrategyRow, 4> strategies;
+    static const std::array<StrategyRow, 5> strategies;
 
     uint32_t adaptiveLimit(Instant) const;
     uint32_t noLimit(Instant) const;
--- a/tests/AdmissionTests.cpp
+++ b/tests/AdmissionTests.cpp
@@ -415,6 +415,76 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAServiceFurtherDownIsOverloaded)
+
+// A guard whose requests go on to call a service that sheds the lower two classes and half of the next.
+struct Upstream : Guard {
+    Upstream()
+        : Guard(1000)
+    {
+        board.routeCalls().update("look-up", [](RouteCallsRecord& record) {
+            record.requests = 100;
+            record.calls["registry"] = 100;
+        });
+        tell(2.5);
+    }
+
+    void tell(double level)
+    {
+        board.shedRecords().update({ "registry", "" }, [&](ShedRecord& record) {
+            record = { level, clock.now(), 0, 0 };
+        });
+    }
+
+    int admittedOf(int requests, Importance importance)
+    {
+        int admitted = 0;
+        for (int i = 0; i < requests; ++i)
+            admitted += offer(request(importance)) == AdmissionVerdict::Admitted;
+        return admitted;
+    }
+};
+
+BOOST_AUTO_TEST_CASE(ThenNoWorkIsStartedThatWouldFailThere)
+{
+    Upstream guard;
+    BOOST_TEST(guard.admittedOf(100, Importance::Critical) == 100);
+    BOOST_TEST(std::abs(guard.admittedOf(200, Importance::High) - 100) < 25);
+    BOOST_TEST(guard.admittedOf(200, Importance::Normal) < 10);
+    BOOST_TEST(guard.admittedOf(200, Importance::Low) < 10);
+}
+
+BOOST_AUTO_TEST_CASE(ThenCallsOfRunningRequestsAreServedOn)
+{
+    Upstream guard;
+    auto call = guard.request(Importance::Normal);
+    call.parentKnown = false;
+    BOOST_TEST((guard.offer(call) == AdmissionVerdict::Admitted));
+}
+
+BOOST_AUTO_TEST_CASE(ThenWhatPassesStandsForWhatDoesNot)
+{
+    Upstream guard;
+    double represented = 0;
+    for (int i = 0; i < 200; ++i) {
+        const auto context = guard.request(Importance::High);
+        guard.board.attempts().update(context.attempt, [&](AttemptRecord& record) { record.context = context; });
+        if (guard.offer(context) == AdmissionVerdict::Admitted)
+            guard.board.attempts().visit(
+                context.attempt, [&](const AttemptRecord& record) { represented += record.context.represents; });
+    }
+    BOOST_TEST(std::abs(represented - 200) < 50);
+}
+
+BOOST_AUTO_TEST_CASE(ThenItIsTakenAgainOnceTheOthersTellNoMore)
+{
+    Upstream guard;
+    guard.clock.advance(seconds(2));
+    BOOST_TEST(guard.admittedOf(100, Importance::Normal) == 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheBackendServerShedsItself)
 
 BOOST_AUTO_TEST_CASE(ThenItsLimitFallsAndComesBack)
--- a/tests/OverloadTests.cpp
+++ b/tests/OverloadTests.cpp
@@ -25,7 +25,10 @@
 const Contestant noControl {
     .name = "no control", .admission = AdmissionStrategy::NoControl, .edge = EdgeShedding::Off
 };
-const Contestant noEdge { .name = "no edge shedding", .edge = EdgeShedding::Off };
+// Neither the entry nor the first guard sheds for loads further down.
+const Contestant noEdge {
+    .name = "no edge shedding", .admission = AdmissionStrategy::AdaptiveAlone, .edge = EdgeShedding::Off
+};
 
 } // namespace
 
