Close a connection whose answer was given up

A call that gave up after sixteen interim or stray answers left its connection open, whole as far as the parser of the last interim answer could tell, and the pool lent it to the next request, which could have been given the answer that was still due.

HttpTests: ThenItsConnectionCarriesNoOtherRequest did not end before, and passes. The test of idle connections has an idle limit of an hour now, so that only the drain can end them.

--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -185,6 +185,8 @@
         if (!skipped || !self.parser->keep_alive())
             co_return std::nullopt;
     }
+    // The answer may still come, and must not be taken for that to the next request.
+    abort();
     co_return std::nullopt;
 }
 
--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -207,7 +207,9 @@
 
 BOOST_AUTO_TEST_CASE(ThenAConnectionThatWaitsForARequestEndsAtOnce)
 {
-    Served served;
+    HttpLimits limits;
+    limits.idleTimeout = std::chrono::hours(1);
+    Served served(limits);
     Caller caller(served);
     caller.write("GET /before HTTP/1.1\r\nHost: a\r\n\r\n");
     BOOST_TEST(caller.readUntil("/before").ends_with("/before"));
@@ -371,6 +373,49 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenItIsGivenUpBetweenTwoAnswers)
+
+BOOST_AUTO_TEST_CASE(ThenItsConnectionCarriesNoOtherRequest)
+{
+    boost::asio::io_context serverContext;
+    Tcp::acceptor acceptor(serverContext, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    const Endpoint endpoint = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    bool wasClosed = false;
+    std::jthread server([&] {
+        Tcp::socket socket(serverContext);
+        acceptor.accept(socket);
+        std::string interim;
+        for (int i = 0; i < 16; ++i)
+            interim += "HTTP/1.1 102 P\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(interim));
+        std::array<char, 4096> bytes;
+        boost::system::error_code error;
+        while (!error)
+            socket.read_some(boost::asio::buffer(bytes), error);
+        wasClosed = true;
+    });
+    {
+        boost::asio::io_context context { 1 };
+        BackendPool pool(context);
+        const auto strand = boost::asio::make_strand(context);
+        const auto call = [&]() -> Task<void> {
+            auto connection = co_await pool.connect(endpoint, strand, seconds(1));
+            BOOST_REQUIRE(connection);
+            RequestHead head { "GET", "/", { { "Host", "a" } }, false, std::nullopt };
+            co_await connection->writeHead(std::move(head));
+            const auto reply = co_await connection->readHead();
+            BOOST_TEST(!reply.has_value());
+            connection.reset();
+            server.join();
+            BOOST_TEST(wasClosed);
+        };
+        boost::asio::co_spawn(strand, call, boost::asio::detached);
+        context.run();
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheyBelongToAnotherRequest)
 
 BOOST_AUTO_TEST_CASE(ThenTheCallEndsInOneBody)
