Wake a guard that waits for room when nobody takes its answer any more

An attempt whose caller had left in the middle of an answer longer than the stream's credit waited for room for ever: the entry granted no more, and the cancellation at the deadline woke only reads from the backend server. Its slot stayed taken, and every later stop of the node went to its limit. Found in review, by reading; no test reproduces it, since it needs a slow caller and an answer beyond the socket buffers.

Whether a started write may go on without its caller is decided by whether its body has come whole, not by whether the body is being written.

--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -349,6 +349,7 @@
 void GuardAttempt::take(StreamMessage message)
 {
     if (auto* chunk = std::get_if<BodyChunk>(&message)) {
+        m_bodyIsWhole = chunk->last;
         m_pieces.push_back(std::move(*chunk));
         m_pieceCame.set();
     } else if (const auto* cancelled = std::get_if<CancelRequest>(&message)) {
@@ -369,7 +370,8 @@
 // broken off.
 bool GuardAttempt::outlives(Reason reason) const
 {
-    return reason == Reason::CallerGone && !context().idempotent && m_startedAt != Instant() && !m_sendingBody;
+    const bool hasStarted = m_startedAt != Instant();
+    return reason == Reason::CallerGone && !context().idempotent && hasStarted && (!m_open.hasBody || m_bodyIsWhole);
 }
 
 // Nobody waits for the answer any more: what waits is given up, and what runs is told by closing its connection.
@@ -384,6 +386,7 @@
         m_parts.control.admission.abandon(context().service, id());
         m_admissionDecided->set();
     }
+    m_stream->stopBody();
     if (m_call)
         m_call->abort();
 }
--- a/src/node/GuardAttempt.h
+++ b/src/node/GuardAttempt.h
@@ -73,6 +73,8 @@
     std::deque<BodyChunk> m_pieces;
     Event m_pieceCame;
     bool m_sendingBody { false };
+    /// The last piece of the request's body has come.
+    bool m_bodyIsWhole { false };
     Event m_bodyDone;
 };
 
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -30,6 +30,8 @@
     virtual bool send(StreamMessage) = 0;
     /// Sends a piece of a body as soon as the other side has room for it. False when the stream has ended.
     virtual Task<bool> sendBody(BodyChunk) = 0;
+    /// Sends no further piece of a body; whoever waits for room is woken. Other messages are sent as before.
+    virtual void stopBody() = 0;
     /// Tells the other side that there is room for so many further body bytes.
     virtual void grantCredit(size_t bytes) = 0;
     /// Ends the stream on this side: whoever receives or waits for room is woken.
--- a/src/peer/Streams.cpp
+++ b/src/peer/Streams.cpp
@@ -32,7 +32,7 @@
     while (true) {
         {
             std::lock_guard guard(m_lock);
-            if (m_closed)
+            if (m_closed || m_bodyStopped)
                 co_return false;
             if (m_credit > 0) {
                 m_credit -= static_cast<int64_t>(creditOf(chunk));
@@ -46,6 +46,15 @@
     co_return send(std::move(chunk));
 }
 
+void QueuedStream::stopBody()
+{
+    {
+        std::lock_guard guard(m_lock);
+        m_bodyStopped = true;
+    }
+    m_creditAdded.close();
+}
+
 void QueuedStream::grantCredit(size_t bytes)
 {
     if (bytes)
--- a/src/peer/Streams.h
+++ b/src/peer/Streams.h
@@ -15,6 +15,7 @@
     Task<std::optional<StreamMessage>> receive() override;
     std::optional<StreamMessage> takeNow() override { return m_arrivals.takeNow(); }
     Task<bool> sendBody(BodyChunk) override;
+    void stopBody() override;
     void grantCredit(size_t bytes) override;
     void close() override;
 
@@ -30,6 +31,7 @@
     Event m_creditAdded;
     std::mutex m_lock;
     int64_t m_credit { initialBodyCredit };
+    bool m_bodyStopped { false };
     bool m_closed { false };
 };
 
