Look for the backend server again before a request that waited is started

What callers saw, by the test: a request that waited in the queue of a backend server was sent to it after it had said that it leaves, up to its deadline later, or to the address of one that was replaced.

Cause: the server was found once, before the wait, and what was found was acted upon after it: the same class of fault as the requests lost at a planned stop. Now it is looked for again when nothing has been sent yet; if it leaves, has left or is another one, the refusal "not run" is true, and the entry tries another server.

StopTests: GivenABackendServerThatLeaves failed before (the request was answered with 200) and passes. The check of the stop's tests is stricter: what began must have the backend server's own answer, and requests must have been served during the stop.

--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -199,7 +199,16 @@
         co_return;
     }
 
-    // 2. From here on the request may run.
+    // 2. It may have waited while the backend server left, or gave its place to another.
+    const auto instance = m_instance;
+    Endpoint present;
+    if (findServer(present) != Reason::None || present != server || m_instance != instance) {
+        endAdmission(AdmittedEnd::Cancelled);
+        refuse(Reason::Draining, false);
+        co_return;
+    }
+
+    // 3. From here on the request may run.
     if (!m_parts.control.guardLedger.start(id())) {
         endAdmission(AdmittedEnd::Cancelled);
         const bool late = m_parts.clock.now() >= m_deadline;
--- a/tests/StopTests.cpp
+++ b/tests/StopTests.cpp
@@ -1,6 +1,7 @@
 // libraries: testfleet
 #include "Fleet.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -33,21 +34,29 @@
         }
     }
 
-    // Each request that a backend server began was answered whole, and none that was refused had begun.
+    size_t served() const
+    {
+        std::lock_guard guard(m_lock);
+        return static_cast<size_t>(std::count_if(
+            m_answers.begin(), m_answers.end(), [](const auto& entry) { return entry.second.status == 200; }));
+    }
+
+    // Each request that a backend server began got its whole answer, and none that was refused had begun.
     void check(Fleet& fleet) const
     {
         const auto begun = begunByTarget(fleet);
+        std::lock_guard guard(m_lock);
         for (const auto& [target, answer] : m_answers) {
             const bool hasBegun = begun.contains(target);
             if (answer.outcome() == "not-run")
                 BOOST_TEST(!hasBegun, target << " was refused as " << answer.reason());
             if (hasBegun)
-                BOOST_TEST((answer.status && !answer.cutShort), target << " was begun and got no whole answer");
+                BOOST_TEST((answer.status == 200 && !answer.cutShort), target << " was begun and got no whole answer");
         }
     }
 
 private:
-    std::mutex m_lock;
+    mutable std::mutex m_lock;
     std::map<std::string, HttpAnswer> m_answers;
 };
 
@@ -97,6 +106,9 @@
     for (const std::string name : { "a", "b", "c", "d" })
         under.push_back(std::async(std::launch::async, [&, name] { callers.writeUntilGone(entry(), name, gone); }));
     askToStop();
+    BOOST_REQUIRE(eventually([&] { return entry().hasLogged("node-draining"); }));
+    const auto before = callers.served();
+    BOOST_TEST(eventually([&] { return callers.served() > before + 10; }));
     BOOST_TEST(exitCode() == 0);
     gone = true;
     for (auto& caller : under)
@@ -107,3 +119,43 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+// A backend server that takes one request at a time, and an entry at another node.
+struct LeavingServer {
+    LeavingServer()
+    {
+        fleet.add({ "a", "ledger", {}, 1 });
+        fleet.add({ "a", "", {}, 16 });
+        BOOST_REQUIRE(fleet.start(testManifest({ "ledger" })));
+        BOOST_REQUIRE(warm(fleet.node(1), "ledger"));
+    }
+
+    bool holds(double attempts) { return fleet.node(0).metric("vanillaridge_running_attempts") == attempts; }
+
+    Fleet fleet;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GivenABackendServerThatLeaves, LeavingServer)
+
+BOOST_AUTO_TEST_SUITE(WhenARequestWaitsForIt)
+
+BOOST_AUTO_TEST_CASE(ThenItIsNotStartedThere)
+{
+    const auto endpoint = fleet.node(1).callers();
+    const LeavingCaller first(endpoint, writeCall("ledger", "first?milliseconds=1500"));
+    BOOST_REQUIRE(eventually([&] { return holds(1); }));
+    auto second = std::async(std::launch::async, [&] { return callHttp(endpoint, writeCall("ledger", "second")); });
+    BOOST_REQUIRE(eventually([&] { return holds(2); }));
+    fleet.node(0).serverProcess().signal(SIGTERM);
+    const auto answer = second.get();
+    BOOST_TEST(answer.status != 200u);
+    BOOST_TEST(answer.outcome() == "not-run");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
