Serve calls of running requests during a stop also without accounts

Where no accounts are declared all routes are open, and a call was taken for a caller's request and refused while its parent ran. Found in review. EntryTests: ThenSoTheyAreWhereNoAccountsAreDeclared failed before.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -214,7 +214,7 @@
         context.treeHash &= ~quarterBits;
     if (route->open && !configuration->declarations().accounts.empty())
         self.adoptLikelyParent(decision);
-    if (context.parentKnown && self.board.refusesNewWork())
+    if (self.board.refusesNewWork() && !(route->open && self.board.attempts().size()))
         decision.reason = Reason::Draining;
     else if (context.parentKnown && isShedForLag(context, request.unread))
         decision.reason = Reason::NodeBusy;
--- a/tests/EntryTests.cpp
+++ b/tests/EntryTests.cpp
@@ -191,6 +191,16 @@
     BOOST_TEST((decide("rides.example", "/registry/1").reason == Reason::None));
 }
 
+BOOST_AUTO_TEST_CASE(ThenSoTheyAreWhereNoAccountsAreDeclared)
+{
+    auto withoutAccounts = declarations();
+    withoutAccounts.accounts.clear();
+    board.configuration().adopt(std::make_shared<const Configuration>(2, std::move(withoutAccounts)));
+    run(1, "registry", Importance::Normal);
+    board.startRefusingNewWork();
+    BOOST_TEST((decide("rides.example", "/registry/1").reason == Reason::None));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(GivenACallerThatWasRefused, Story)
