Answer a request that was read while its connection was told to close

A connection told to close after a reply that promised to keep it open could have read the next request already, and dropped it. Found in review; the time between the two is too short for a test without a hook.

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -39,12 +39,14 @@
 {
     if (buffer.size())
         co_return true;
-    if (closing || m_ended)
+    if (m_ended || (closing && !m_reading))
         co_return false;
     limit(limits.idleTimeout);
     if (!m_reading)
         readAhead({});
     m_awaitsRequest = true;
+    if (closing)
+        endIfIdle();
     while (m_reading)
         co_await readEnded().wait();
     m_awaitsRequest = false;
