Announce a stop for 2.5 s, and wait as long for running requests

A request that is sent later than 3 s after the signal has a right to its answer however long it takes, and the node took new work until 3 s and a look: found in review. Two failed readiness checks fit into 2.5 s; the whole stop ends when it did.

--- a/src/drain/Drain.cpp
+++ b/src/drain/Drain.cpp
@@ -5,8 +5,8 @@
 namespace {
 
     // How long a leaving node goes on as before. Leaving is known everywhere within 1.5 s at the design size
-    // (docs/design/membership.md), and readiness checks come once a second.
-    constexpr Duration announcementTime = seconds(3);
+    // (docs/design/membership.md), and two readiness checks, a second apart, have failed by then.
+    constexpr Duration announcementTime = milliseconds(2500);
     // How long the last messages have to leave.
     constexpr Duration farewellTime = milliseconds(300);
 
