Set up the fleets of the stop's tests in one place

Two fixtures of StopTests started the same two nodes, with other slots. No check changes. StopTests pass; formatter and linter are clean on the file. The other tests were not run again.

--- a/tests/StopTests.cpp
+++ b/tests/StopTests.cpp
@@ -60,21 +60,32 @@
     std::map<std::string, HttpAnswer> m_answers;
 };
 
-// Entry and guard are different processes, and the entry is asked to stop.
-struct StoppingEntry {
-    StoppingEntry()
+// Entry and guard are different processes; the backend server beside the guard has so many slots.
+struct EntryAndGuard {
+    explicit EntryAndGuard(uint32_t slots)
     {
-        fleet.add({ "a", "ledger", {}, 16 });
+        fleet.add({ "a", "ledger", {}, slots });
         fleet.add({ "a", "", {}, 16 });
         BOOST_REQUIRE(fleet.start(testManifest({ "ledger" })));
         BOOST_REQUIRE(warm(entry(), "ledger"));
     }
 
+    FleetNode& guard() { return fleet.node(0); }
     FleetNode& entry() { return fleet.node(1); }
+
+    Fleet fleet;
+};
+
+// The entry is asked to stop.
+struct StoppingEntry : EntryAndGuard {
+    StoppingEntry()
+        : EntryAndGuard(16)
+    {
+    }
+
     void askToStop() { entry().process().signal(SIGTERM); }
     int exitCode() { return entry().process().awaitEnd(std::chrono::seconds(30)).value_or(-1); }
 
-    Fleet fleet;
     Callers callers;
 };
 
@@ -122,19 +133,14 @@
 
 namespace {
 
-// A backend server that takes one request at a time, and an entry at another node.
-struct LeavingServer {
+// The backend server takes one request at a time.
+struct LeavingServer : EntryAndGuard {
     LeavingServer()
+        : EntryAndGuard(1)
     {
-        fleet.add({ "a", "ledger", {}, 1 });
-        fleet.add({ "a", "", {}, 16 });
-        BOOST_REQUIRE(fleet.start(testManifest({ "ledger" })));
-        BOOST_REQUIRE(warm(fleet.node(1), "ledger"));
     }
 
-    bool holds(double attempts) { return fleet.node(0).metric("vanillaridge_running_attempts") == attempts; }
-
-    Fleet fleet;
+    bool holds(double attempts) { return guard().metric("vanillaridge_running_attempts") == attempts; }
 };
 
 } // namespace
@@ -145,12 +151,12 @@
 
 BOOST_AUTO_TEST_CASE(ThenItIsNotStartedThere)
 {
-    const auto endpoint = fleet.node(1).callers();
+    const auto endpoint = entry().callers();
     const LeavingCaller first(endpoint, writeCall("ledger", "first?milliseconds=1500"));
     BOOST_REQUIRE(eventually([&] { return holds(1); }));
     auto second = std::async(std::launch::async, [&] { return callHttp(endpoint, writeCall("ledger", "second")); });
     BOOST_REQUIRE(eventually([&] { return holds(2); }));
-    fleet.node(0).serverProcess().signal(SIGTERM);
+    guard().serverProcess().signal(SIGTERM);
     const auto answer = second.get();
     BOOST_TEST(answer.status != 200u);
     BOOST_TEST(answer.outcome() == "not-run");
