Say what the gate expected of a request, and why it got no token

The records of an incident could not tell whether a guard that refused requests for their time went by work of another kind, nor whether accounts that were over their rate had no tokens left or nobody to ask.

An attempt's line has expected-ms, the time that the gate held against what was left. A request's line has quota with over-rate: the cause, what this node held and had asked for, how long the request waited, and for how long the slots are not asked again. Counters of the same causes are among the metrics. No decision changes.

--- a/src/admission/Admission.h
+++ b/src/admission/Admission.h
@@ -25,6 +25,8 @@
     Reason reason { Reason::None };
     /// When to try again; 0 when not refused.
     Duration retryAfter { 0 };
+    /// Time at the backend server that the gate expected it to need when it decided; 0 when nothing was known.
+    Duration expected { 0 };
 };
 
 /// What became of an attempt that was told to wait: Admitted or Refused.
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -140,7 +140,7 @@
         auto& ticket = m_tickets[context.attempt];
         ticket.deadline = deadline;
         start(ticket, now);
-        return { AdmissionVerdict::Admitted };
+        return { .verdict = AdmissionVerdict::Admitted, .expected = neededTime() };
     }
     return enqueueOrRefuse(context, deadline, now);
 }
@@ -180,7 +180,7 @@
 AdmissionDecision Gate::refusal(Reason reason)
 {
     const auto base = shortestRetryAfter + fromSeconds(inSeconds(retryAfterPerLevel) * m_budget.level());
-    return { AdmissionVerdict::Refused, reason, m_random.jittered(base, retryAfterJitter) };
+    return { AdmissionVerdict::Refused, reason, m_random.jittered(base, retryAfterJitter), neededTime() };
 }
 
 void Gate::evictWorst(Reason reason) { refuse(std::prev(m_queue.end()), reason); }
@@ -282,7 +282,8 @@
         }
         m_queueTime += timeSmoothing * (inSeconds(now - ticket.since) - m_queueTime);
         start(ticket, now);
-        m_changes.push_back({ best->second, {}, { AdmissionVerdict::Admitted } });
+        m_changes.push_back(
+            { best->second, {}, { .verdict = AdmissionVerdict::Admitted, .expected = neededTime() } });
         m_queue.erase(best);
     }
 }
@@ -315,10 +316,10 @@
 // A slow backend server frees its slots rarely, so those who wait for one need about as long as it takes.
 Duration Gate::longestWait() const { return std::max(m_settings.queueLimit, expectedService()); }
 
-bool Gate::cannotFinish(Instant deadline, Instant now) const
-{
-    return now + fromSeconds(m_serviceTime + m_serviceDeviation) >= deadline;
-}
+// Time that a request is taken to need from its start on.
+Duration Gate::neededTime() const { return fromSeconds(m_serviceTime + m_serviceDeviation); }
+
+bool Gate::cannotFinish(Instant deadline, Instant now) const { return now + neededTime() >= deadline; }
 
 // --- Feedback -----------------------------------------------------------------------------------------------------
 
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -85,6 +85,7 @@
     Duration expectedService() const;
     double queueCapacity() const;
     Duration longestWait() const;
+    Duration neededTime() const;
     bool cannotFinish(Instant deadline, Instant now) const;
 
     Clock& m_clock;
--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -34,6 +34,11 @@
     QuotaTokensExpired,
     QuotaLeasesAcquired,
     QuotaLeasesLost,
+    QuotaRefusedOutOfTokens,
+    QuotaRefusedNoAnswer,
+    QuotaRefusedQueueFull,
+    QuotaRefusedNotDeclared,
+    QuotaRefusedStopping,
     // Membership.
     MembershipProbes,
     MembershipProbesFailed,
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -135,6 +135,7 @@
     }
     if (decision.answer != QuotaAnswer::Admitted) {
         m_decision.retryAfter = decision.retryAfter;
+        m_quota = decision.evidence;
         co_return Reason::OverRate;
     }
     m_token = decision;
@@ -476,7 +477,7 @@
             { "configuration", m_decision.configuration ? m_decision.configuration->number() : 0 },
             { "allowed-ms", inMilliseconds(context.remaining) },
             { "took-ms", inMilliseconds(m_parts.clock.now() - m_receivedAt) }, { "attempts", trailText() },
-            { "retry-after-ms", inMilliseconds(m_retryAfter) }, { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
+            { "quota", toText(m_quota) }, { "retry-after-ms", inMilliseconds(m_retryAfter) }, { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
 }
 
 // Gives back what the request held.
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -82,6 +82,7 @@
     std::string m_idempotencyKey;
     bool m_claimed { false };
     std::optional<QuotaDecision> m_token;
+    QuotaEvidence m_quota;
     Instant m_receivedAt;
     boost::asio::steady_timer m_deadline;
     bool m_timedOut { false };
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -94,7 +94,8 @@
             { "server", m_instance }, { "service", context().service }, { "importance", toText(context().importance) },
             { "reason", toText(m_end) }, { "started", hasStarted }, { "status", m_status },
             { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) }, { "waited-ms", inMilliseconds(waited) },
-            { "server-ms", inMilliseconds(served) }, { "running", load.running }, { "waiting", load.waiting },
+            { "server-ms", inMilliseconds(served) }, { "expected-ms", inMilliseconds(m_admission.expected) },
+            { "running", load.running }, { "waiting", load.waiting },
             { "limit", load.limit }, { "shed-level", load.shedLevel },
             { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
 }
--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -14,6 +14,14 @@
     constexpr double retryJitter = 0.1;
     constexpr double largestPull = 1e6;
 
+    Counter counterOf(QuotaCause cause)
+    {
+        constexpr std::array<Counter, static_cast<size_t>(QuotaCause::Count)> counters { Counter::QuotaRefusedOutOfTokens,
+            Counter::QuotaRefusedOutOfTokens, Counter::QuotaRefusedNoAnswer, Counter::QuotaRefusedQueueFull,
+            Counter::QuotaRefusedNotDeclared, Counter::QuotaRefusedStopping };
+        return counters[static_cast<size_t>(cause)];
+    }
+
 } // namespace
 
 Pools::Pools(Board& board, Clock& clock, RandomSource& random, const QuotaSettings& settings, Slots& slots)
@@ -84,8 +92,9 @@
 {
     const AccountName name(account);
     Effects effects;
-    QuotaDecision decision { QuotaAnswer::Refused, unreachableRetry, {} };
-    withPool(name, [&](Pool& pool) { decision = takeFrom(pool, std::move(whenDecided), effects); });
+    QuotaDecision decision { QuotaAnswer::Refused, unreachableRetry, {}, { .cause = QuotaCause::NotDeclared } };
+    if (!withPool(name, [&](Pool& pool) { decision = takeFrom(pool, std::move(whenDecided), effects); }))
+        m_board.counters().add(counterOf(QuotaCause::NotDeclared));
     finish(name, effects);
     return decision;
 }
@@ -99,27 +108,27 @@
         // The clock is read again after the token is gone: it must still have been valid then.
         if (const auto expires = spend(pool, 1); expires && m_clock.now() < *expires) {
             while (pullOnce(pool, now, effects)) { }
-            return { QuotaAnswer::Admitted, {}, *expires };
+            return { QuotaAnswer::Admitted, {}, *expires, {} };
         }
     }
     if (pool.waiters.size() >= longestQueue)
-        return { QuotaAnswer::Refused, retryAfter(pool, now), {} };
+        return refusal(pool, QuotaCause::QueueFull, now, now);
     return queue(pool, std::move(whenDecided), now, effects);
 }
 
 // Lets the request wait for tokens, unless they are there at once, or none can be had.
 QuotaDecision Pools::queue(Pool& pool, QuotaCallback&& whenDecided, Instant now, Effects& effects)
 {
-    QuotaDecision decision { QuotaAnswer::Pending, {}, {} };
+    QuotaDecision decision { QuotaAnswer::Pending };
     const bool mayWait = static_cast<bool>(whenDecided);
-    pool.waiters.push_back({ 1, now + m_settings.patience, &decision, std::move(whenDecided), {}, 0 });
+    pool.waiters.push_back({ 1, now, now + m_settings.patience, &decision, std::move(whenDecided), {}, 0 });
     settle(pool, now, effects);
     if (decision.answer != QuotaAnswer::Pending)
         return decision;
     const bool hopeless = pool.waiting() > pool.tokens() + pool.pulled() && isOutOfTokens(pool, now);
     if (!mayWait || hopeless) {
         pool.waiters.pop_back();
-        return { QuotaAnswer::Refused, retryAfter(pool, now), {} };
+        return refusal(pool, hopeless ? QuotaCause::OutOfTokens : QuotaCause::NoAnswer, now, now);
     }
     pool.waiters.back().immediate = nullptr;
     return decision;
@@ -155,7 +164,7 @@
         expire(pool, now);
         pool.demand.add(pull.wanted, now);
         const Instant until = now + m_settings.patience / homePatienceDivisor;
-        pool.waiters.push_back({ pull.wanted, until, nullptr, {}, from, pull.pull });
+        pool.waiters.push_back({ pull.wanted, now, until, nullptr, {}, from, pull.pull });
         settle(pool, now, effects);
     });
     if (!known)
@@ -204,8 +213,9 @@
         while (!pool.waiters.empty() && serveFirst(pool, now, effects))
             pool.waiters.pop_front();
     } while (pullOnce(pool, now, effects) || collect(pool, now, effects));
-    if (pool.pulls.empty() && (isOutOfTokens(pool, now) || now >= pool.blockedUntil))
-        refuseAll(pool, now, effects);
+    const bool outOfTokens = isOutOfTokens(pool, now);
+    if (pool.pulls.empty() && (outOfTokens || now >= pool.blockedUntil))
+        refuseAll(pool, outOfTokens ? QuotaCause::OutOfTokens : QuotaCause::NoAnswer, now, effects);
     if (!pool.pulls.empty() || !pool.waiters.empty())
         list(pool, effects);
 }
@@ -234,7 +244,7 @@
         const auto lifetime = *expires - spentAt;
         effects.messages.push_back({ first.from, QuotaGrant { first.pull, pool.account, amount, lifetime, 0, wait } });
     } else
-        decide(first, { QuotaAnswer::Admitted, {}, *expires }, effects);
+        decide(first, { QuotaAnswer::Admitted, {}, *expires, {} }, effects);
     return true;
 }
 
@@ -246,22 +256,32 @@
         effects.decisions.emplace_back(std::move(waiter.callback), decision);
 }
 
-void Pools::refuse(Pool& pool, Waiter& waiter, Instant now, Effects& effects)
+void Pools::refuse(Pool& pool, Waiter& waiter, QuotaCause cause, Instant now, Effects& effects)
 {
-    const auto wait = retryAfter(pool, now);
-    if (!waiter.from.empty())
+    if (!waiter.from.empty()) {
+        const auto wait = retryAfter(pool, now);
         effects.messages.push_back({ waiter.from, QuotaGrant { waiter.pull, pool.account, 0, {}, 0, wait } });
-    else
-        decide(waiter, { QuotaAnswer::Refused, wait, {} }, effects);
+    } else {
+        decide(waiter, refusal(pool, cause, waiter.since, now), effects);
+    }
 }
 
-void Pools::refuseAll(Pool& pool, Instant now, Effects& effects)
+void Pools::refuseAll(Pool& pool, QuotaCause cause, Instant now, Effects& effects)
 {
     for (auto& waiter : pool.waiters)
-        refuse(pool, waiter, now, effects);
+        refuse(pool, waiter, cause, now, effects);
     pool.waiters.clear();
 }
 
+QuotaDecision Pools::refusal(const Pool& pool, QuotaCause cause, Instant since, Instant now)
+{
+    m_board.counters().add(counterOf(cause));
+    QuotaDecision decision { QuotaAnswer::Refused, retryAfter(pool, now) };
+    decision.evidence = { cause, pool.tokens(), pool.pulled(), pool.waiters.size(), now - since,
+        std::max(Duration(0), Duration(pool.blockedUntil - now)) };
+    return decision;
+}
+
 // When a token is likely to be there: as soon as the first source may be asked again.
 Duration Pools::retryAfter(const Pool& pool, Instant now)
 {
--- a/src/quota/Pools.h
+++ b/src/quota/Pools.h
@@ -61,6 +61,7 @@
     /// A request of this node, or a pull of another one.
     struct Waiter {
         double wanted { 1 };
+        Instant since;
         Instant until;
         /// Where to put the decision while the request is still in take().
         QuotaDecision* immediate { nullptr };
@@ -120,8 +121,9 @@
     void settle(Pool&, Instant now, Effects&);
     bool serveFirst(Pool&, Instant now, Effects&);
     void decide(Waiter&, const QuotaDecision&, Effects&);
-    void refuse(Pool&, Waiter&, Instant now, Effects&);
-    void refuseAll(Pool&, Instant now, Effects&);
+    void refuse(Pool&, Waiter&, QuotaCause, Instant now, Effects&);
+    void refuseAll(Pool&, QuotaCause, Instant now, Effects&);
+    QuotaDecision refusal(const Pool&, QuotaCause, Instant since, Instant now);
     Duration retryAfter(const Pool&, Instant now);
 
     QuotaGrant answerFromSlot(const QuotaPull&);
--- a/src/quota/Quota.cpp
+++ b/src/quota/Quota.cpp
@@ -2,6 +2,8 @@
 
 #include "quota/Pools.h"
 
+#include <fmt/format.h>
+
 namespace Vanillaridge {
 
 namespace {
@@ -13,6 +15,23 @@
 
 } // namespace
 
+std::string_view toText(QuotaCause cause)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(QuotaCause::Count)> names { "none", "out-of-tokens",
+        "no-answer", "queue-full", "not-declared", "stopping" };
+    return names[static_cast<size_t>(cause)];
+}
+
+std::string toText(const QuotaEvidence& evidence)
+{
+    if (evidence.cause == QuotaCause::None)
+        return {};
+    const auto inMilliseconds = [](Duration span) { return std::chrono::duration_cast<milliseconds>(span).count(); };
+    return fmt::format("{}:held={:.2f},pulled={:.2f},waiting={},waited={}ms,blocked={}ms", toText(evidence.cause),
+        evidence.tokens, evidence.pulled, evidence.waiting, inMilliseconds(evidence.waited),
+        inMilliseconds(evidence.blocked));
+}
+
 struct Quota::Parts {
     Parts(Board& board, Clock& clock, RandomSource& random, ObjectStore& objects, const QuotaSettings& settings)
         : board(board)
--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -66,13 +66,48 @@
     Pending,
 };
 
+/// Why a request got no token.
+enum class QuotaCause : uint8_t {
+    None,
+    /// The slots said that they have none.
+    OutOfTokens,
+    /// No slot's holder was known, or none answered in time.
+    NoAnswer,
+    /// Too many requests of the account wait here.
+    QueueFull,
+    /// The account is not declared, or has gone.
+    NotDeclared,
+    /// The node gives up its part in the quota.
+    Stopping,
+    Count,
+};
+std::string_view toText(QuotaCause);
+
+/// What this node held of the account when it refused a request.
+struct QuotaEvidence {
+    QuotaCause cause { QuotaCause::None };
+    double tokens { 0 };
+    /// Tokens asked for and not answered yet.
+    double pulled { 0 };
+    /// Other requests of the account that wait here.
+    size_t waiting { 0 };
+    /// Time that this request has waited.
+    Duration waited { 0 };
+    /// Time until the slots may be asked again.
+    Duration blocked { 0 };
+};
+/// One word for a log line; empty when there is nothing to explain.
+std::string toText(const QuotaEvidence&);
+
 /// What the quota says of one request.
 struct QuotaDecision {
     QuotaAnswer answer { QuotaAnswer::Refused };
     /// With Refused: when a token is likely to be there, with jitter.
     Duration retryAfter { 0 };
     /// With Admitted: until when the token may be given back.
-    Instant expires;
+    Instant expires {};
+    /// With Refused: why.
+    QuotaEvidence evidence {};
 };
 
 /// Called exactly once for a pending request, with Admitted or Refused, outside any lock, from whichever thread called
--- a/src/quota/Upkeep.cpp
+++ b/src/quota/Upkeep.cpp
@@ -32,7 +32,7 @@
             if (refresh(pool, account))
                 settle(pool, now, effects);
             else
-                refuseAll(pool, now, effects);
+                refuseAll(pool, QuotaCause::NotDeclared, now, effects);
         });
         finish(account, effects);
     }
@@ -66,7 +66,7 @@
     std::erase_if(pool.waiters, [&](Waiter& waiter) {
         if (now < waiter.until)
             return false;
-        refuse(pool, waiter, now, effects);
+        refuse(pool, waiter, QuotaCause::NoAnswer, now, effects);
         return true;
     });
 }
@@ -90,7 +90,8 @@
 void Pools::refuseWaiting()
 {
     Effects effects;
-    m_pools.forEach([&](const AccountName&, Pool& pool) { refuseAll(pool, m_clock.now(), effects); });
+    m_pools.forEach(
+        [&](const AccountName&, Pool& pool) { refuseAll(pool, QuotaCause::Stopping, m_clock.now(), effects); });
     finish({}, effects);
 }
 
--- a/tests/QuotaTests.cpp
+++ b/tests/QuotaTests.cpp
@@ -116,6 +116,19 @@
     BOOST_TEST((quota.take("owner").answer == QuotaAnswer::Admitted));
 }
 
+BOOST_AUTO_TEST_CASE(ThenARefusalSaysThatTheSlotsHaveNoToken)
+{
+    QuotaWorld world(1, shortTerms(), declare({ { "owner", 2, 6, {} } }), 1);
+    world.run(seconds(10));
+    auto& quota = *world.nodes[0]->quota;
+    while (quota.take("owner").answer == QuotaAnswer::Admitted) { }
+    const auto refused = quota.take("owner");
+    BOOST_TEST((refused.evidence.cause == QuotaCause::OutOfTokens));
+    BOOST_TEST(refused.evidence.tokens < 1);
+    BOOST_TEST(refused.evidence.blocked.count() > 0);
+    BOOST_TEST(toText(refused.evidence).starts_with("out-of-tokens:held=0"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenSeveralThreadsTakeAtOnce)
@@ -149,7 +162,9 @@
 {
     QuotaWorld world(1, shortTerms(), declare({ { "owner", 2, 6, {} } }), 1);
     world.run(seconds(10));
-    BOOST_TEST((world.nodes[0]->quota->take("stranger").answer == QuotaAnswer::Refused));
+    const auto refused = world.nodes[0]->quota->take("stranger");
+    BOOST_TEST((refused.answer == QuotaAnswer::Refused));
+    BOOST_TEST((refused.evidence.cause == QuotaCause::NotDeclared));
     BOOST_TEST(world.nodes[0]->quota->status().accounts.empty());
 }
 
@@ -338,6 +353,7 @@
             ++told;
             BOOST_TEST((later.answer == QuotaAnswer::Refused));
             BOOST_TEST(later.retryAfter.count() > 0);
+            BOOST_TEST((later.evidence.cause == QuotaCause::NoAnswer));
         });
         pending += decision.answer == QuotaAnswer::Pending;
     }
