Reproduce short requests that are refused for the length of long ones

A backend server with 100 slots serves 60 requests a second of 1 s, and 200 a second of 20 ms whose callers wait for 300 ms.

--- a/tests/AdmissionTests.cpp
+++ b/tests/AdmissionTests.cpp
@@ -1,5 +1,5 @@
 // libraries: admission
-#include "admission/Admission.h"
+#include "AdmissionGuard.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -10,76 +10,6 @@
 
 namespace {
 
-constexpr Duration patience = seconds(5);
-
-// One node with one backend server, whose requests the test starts and ends.
-struct Guard {
-    explicit Guard(uint32_t slots = 4, AdmissionStrategy strategy = AdmissionStrategy::Adaptive,
-        OverloadPolicy policy = OverloadPolicy::FairnessFirst)
-        : random(makeSeededRandom(7))
-        , board({ "127.0.0.1:7000", "zone-a", { 1 }, { 1 } })
-        , admission(board, clock, *random, strategy)
-    {
-        Declarations declarations;
-        declarations.services.push_back({ .name = "history", .slots = slots, .slowStart = Duration(0) });
-        declarations.policy.overload = policy;
-        board.configuration().adopt(std::make_shared<const Configuration>(1, std::move(declarations)));
-        announce(slots);
-    }
-
-    void announce(uint32_t slots, bool draining = false)
-    {
-        board.localServers().update("history", [&](LocalServerRecord& server) {
-            server.announcement = { "history", 1, slots, draining };
-        });
-    }
-
-    RequestContext request(Importance importance, std::string_view account = "owner")
-    {
-        RequestContext context;
-        context.attempt.request.sequence = ++sequence;
-        context.service = "history";
-        context.route = "look-up";
-        context.account = account;
-        context.importance = importance;
-        context.treeHash = mixHash(sequence, 1);
-        return context;
-    }
-
-    AdmissionVerdict offer(const RequestContext& context)
-    {
-        const auto decision = admission.offer(context, clock.now() + patience);
-        if (decision.verdict == AdmissionVerdict::Admitted)
-            running.push_back(context.attempt);
-        return decision.verdict;
-    }
-
-    std::vector<AdmissionChange> settle()
-    {
-        auto changes = admission.settle();
-        for (const auto& change : changes) {
-            if (change.decision.verdict == AdmissionVerdict::Admitted)
-                running.push_back(change.attempt);
-        }
-        return changes;
-    }
-
-    void finishOne()
-    {
-        if (running.empty())
-            return;
-        admission.finished("history", running.front(), AdmittedEnd::Served);
-        running.erase(running.begin());
-    }
-
-    ManualClock clock;
-    std::unique_ptr<RandomSource> random;
-    Board board;
-    Admission admission;
-    std::vector<AttemptId> running;
-    uint64_t sequence { 0 };
-};
-
 // What the test does next, drawn at random.
 struct Step {
     uint32_t kind;
--- /dev/null
+++ b/tests/MixedWorkTests.cpp
@@ -0,0 +1,123 @@
+// libraries: admission
+#include "AdmissionGuard.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace Vanillaridge;
+
+namespace {
+
+// A backend server that does work of different length.
+struct MixedServer : Guard {
+    explicit MixedServer(uint32_t slots = 100)
+        : Guard(slots)
+    {
+    }
+
+    RequestContext requestOf(std::string_view route)
+    {
+        auto context = request(Importance::Normal);
+        context.route = route;
+        return context;
+    }
+
+    AdmissionDecision offerWithin(const RequestContext& context, Duration left)
+    {
+        return admission.offer(context, clock.now() + left);
+    }
+
+    // Serves requests of a route one after the other.
+    void serve(std::string_view route, int count, Duration time)
+    {
+        for (int i = 0; i < count; ++i) {
+            const auto context = requestOf(route);
+            offer(context);
+            clock.advance(time);
+            admission.finished("history", context.attempt, AdmittedEnd::Served);
+            settle();
+        }
+    }
+};
+
+// Requests of one route, sent at an even pace.
+struct Flow {
+    std::string_view route;
+    double rate; // requests per second
+    Duration time; // at the backend server
+    Duration patience;
+    int sent { 0 };
+    int served { 0 };
+};
+
+// Sends all flows for so long, and counts what is served within its patience.
+void play(MixedServer& server, std::span<Flow> flows, Duration span)
+{
+    constexpr Duration step = milliseconds(1);
+    struct Running {
+        AttemptId attempt;
+        Flow* flow;
+        Instant deadline;
+    };
+    std::multimap<Instant, Running> ends;
+    std::map<AttemptId, Running> waiting;
+    const auto start = [&](const Running& running) { ends.emplace(server.clock.now() + running.flow->time, running); };
+    std::vector<double> due(flows.size());
+    for (const auto end = server.clock.now() + span; server.clock.now() < end; server.clock.advance(step)) {
+        while (!ends.empty() && ends.begin()->first <= server.clock.now()) {
+            const auto [at, running] = *ends.begin();
+            ends.erase(ends.begin());
+            server.admission.finished("history", running.attempt, AdmittedEnd::Served);
+            running.flow->served += at <= running.deadline;
+        }
+        for (size_t i = 0; i < flows.size(); ++i) {
+            for (due[i] += flows[i].rate / 1000; due[i] >= 1; due[i] -= 1) {
+                const auto context = server.requestOf(flows[i].route);
+                const Running running { context.attempt, &flows[i], server.clock.now() + flows[i].patience };
+                const auto verdict = server.offerWithin(context, flows[i].patience).verdict;
+                ++flows[i].sent;
+                if (verdict == AdmissionVerdict::Admitted)
+                    start(running);
+                else if (verdict == AdmissionVerdict::Waiting)
+                    waiting.emplace(context.attempt, running);
+            }
+        }
+        for (const auto& change : server.admission.settle()) {
+            const auto found = waiting.extract(change.attempt);
+            if (change.decision.verdict == AdmissionVerdict::Admitted)
+                start(found.mapped());
+        }
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GivenABackendServerWithLongAndShortWork)
+
+BOOST_AUTO_TEST_SUITE(WhenASlotIsFree)
+
+BOOST_AUTO_TEST_CASE(ThenAShortRequestIsNotRefusedForTheLengthOfTheLongOnes)
+{
+    MixedServer server;
+    server.serve("sign", 100, seconds(1));
+    const auto decision = server.offerWithin(server.requestOf("status"), milliseconds(500));
+    BOOST_TEST((decision.verdict == AdmissionVerdict::Admitted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAllThatComesFits)
+
+BOOST_AUTO_TEST_CASE(ThenShortRequestsWithLittleTimeAreServedBesideLongOnes)
+{
+    MixedServer server;
+    std::vector<Flow> flows { { "sign", 60, seconds(1), seconds(5) },
+        { "status", 200, milliseconds(20), milliseconds(300) } };
+    play(server, flows, seconds(20));
+    BOOST_TEST(flows[1].served >= flows[1].sent - 10);
+    BOOST_TEST(flows[0].served >= flows[0].sent - 70);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
