--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -477,7 +477,8 @@
             { "configuration", m_decision.configuration ? m_decision.configuration->number() : 0 },
             { "allowed-ms", inMilliseconds(context.remaining) },
             { "took-ms", inMilliseconds(m_parts.clock.now() - m_receivedAt) }, { "attempts", trailText() },
-            { "quota", toText(m_quota) }, { "retry-after-ms", inMilliseconds(m_retryAfter) }, { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
+            { "quota", toText(m_quota) }, { "retry-after-ms", inMilliseconds(m_retryAfter) },
+            { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
 }
 
 // Gives back what the request held.
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -95,9 +95,8 @@
             { "reason", toText(m_end) }, { "started", hasStarted }, { "status", m_status },
             { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) }, { "waited-ms", inMilliseconds(waited) },
             { "server-ms", inMilliseconds(served) }, { "expected-ms", inMilliseconds(m_admission.expected) },
-            { "running", load.running }, { "waiting", load.waiting },
-            { "limit", load.limit }, { "shed-level", load.shedLevel },
-            { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
+            { "running", load.running }, { "waiting", load.waiting }, { "limit", load.limit },
+            { "shed-level", load.shedLevel }, { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
 }
 
 // Temporaries with owners in them are made in plain functions: see the developers' page.
--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -16,9 +16,10 @@
 
     Counter counterOf(QuotaCause cause)
     {
-        constexpr std::array<Counter, static_cast<size_t>(QuotaCause::Count)> counters { Counter::QuotaRefusedOutOfTokens,
-            Counter::QuotaRefusedOutOfTokens, Counter::QuotaRefusedNoAnswer, Counter::QuotaRefusedQueueFull,
-            Counter::QuotaRefusedNotDeclared, Counter::QuotaRefusedStopping };
+        constexpr std::array<Counter, static_cast<size_t>(QuotaCause::Count)> counters {
+            Counter::QuotaRefusedOutOfTokens, Counter::QuotaRefusedOutOfTokens, Counter::QuotaRefusedNoAnswer,
+            Counter::QuotaRefusedQueueFull, Counter::QuotaRefusedNotDeclared, Counter::QuotaRefusedStopping
+        };
         return counters[static_cast<size_t>(cause)];
     }
 
