Judge a request's time by what its own route takes

Cause: the gate refused what had less time left than one mean and deviation over all that its server does. The certificate service works half a second and more on signatures, so short requests with a second left were refused for the length of others, and as what is refused is not timed, nothing corrected it. Ruled out: a configuration that was not in force (refusals carry its number), lag and waiting (both 0).

Class of fault: a decision about one request by a figure over others, which hides the evidence against it.

Now each route is judged by its own requests, 8 of them at least and the last no more than 2 s ago, by the time that most of them need at least. Evidence that nothing confirms fades, so a refusal cannot keep itself up. With a slot free a request is refused for it only if its route calls others, whose work would be lost.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -117,6 +117,11 @@
         return needed;
     }
 
+    WorkBelow workBelow(const RouteName& route)
+    {
+        return neededRoutes(route).empty() ? WorkBelow::None : WorkBelow::Some;
+    }
+
     double shedLevelBelow(const RequestContext& context)
     {
         double level = 0;
@@ -180,7 +185,7 @@
     auto& gate = m_state->gateOf(context.service);
     if (gate.wantsSettings())
         gate.configure(m_state->settingsOf(context.service, *announcement));
-    return gate.offer(context, deadline);
+    return gate.offer(context, deadline, m_state->workBelow(context.route));
 }
 
 void Admission::finished(std::string_view service, const AttemptId& attempt, AdmittedEnd end)
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -12,6 +12,7 @@
     constexpr Duration updatePeriod = milliseconds(20);
     constexpr Duration settingsPeriod = milliseconds(50);
     constexpr Duration scanPeriod = milliseconds(1);
+    constexpr Duration forgetPeriod = seconds(1);
     // Weight of a new sample in the smoothed times.
     constexpr double timeSmoothing = 0.05;
     // While nothing is served, the smoothed service time is forgotten: a wrong one must not refuse everything for good.
@@ -123,30 +124,32 @@
 
 // --- Offers -------------------------------------------------------------------------------------------------------
 
-AdmissionDecision Gate::offer(const RequestContext& context, Instant deadline)
+AdmissionDecision Gate::offer(const RequestContext& context, Instant deadline, WorkBelow below)
 {
     std::lock_guard guard(m_lock);
     const auto now = m_clock.now();
 
-    // 1. Once only, and only if there is time for it.
+    // 1. Once only, and only if there is time for it. Where a slot is free and nothing is called, trying costs nothing.
     if (m_tickets.contains(context.attempt))
         return refusal(Reason::Duplicate);
     m_budget.noteOffer(context.importance, context.account, context.represents);
-    if (cannotFinish(deadline, now))
-        return refusal(Reason::DeadlineExceeded);
+    const bool isFree = m_queue.empty() && m_running < (this->*m_strategy.limit)(now);
+    const bool isCheap = isFree && below == WorkBelow::None;
+    Ticket ticket { context.route, {}, deadline, m_serviceTimes.least(context.route, now), now };
+    if (now >= deadline || (!isCheap && ticket.cannotFinish(now)))
+        return refusal(Reason::DeadlineExceeded, ticket.expected);
 
     // 2. A free slot is used, whatever the shed level.
-    if (m_queue.empty() && m_running < (this->*m_strategy.limit)(now)) {
-        auto& ticket = m_tickets[context.attempt];
-        ticket.deadline = deadline;
-        start(ticket, now);
-        return { .verdict = AdmissionVerdict::Admitted, .expected = neededTime() };
+    if (isFree) {
+        const auto expected = ticket.expected;
+        start(m_tickets.emplace(context.attempt, std::move(ticket)).first->second, now);
+        return { .verdict = AdmissionVerdict::Admitted, .expected = expected };
     }
-    return enqueueOrRefuse(context, deadline, now);
+    return enqueueOrRefuse(context, std::move(ticket));
 }
 
 // What is refused here is always the least worthy of those who wait and the one that came.
-AdmissionDecision Gate::enqueueOrRefuse(const RequestContext& context, Instant deadline, Instant now)
+AdmissionDecision Gate::enqueueOrRefuse(const RequestContext& context, Ticket ticket)
 {
     m_saturated = true;
     const Place place = (this->*m_strategy.place)(context);
@@ -165,7 +168,9 @@
     }
 
     // 2. It waits.
-    m_tickets.emplace(context.attempt, Ticket { place, deadline, now, true });
+    ticket.place = place;
+    ticket.waiting = true;
+    m_tickets.emplace(context.attempt, std::move(ticket));
     m_queue.emplace(place, context.attempt);
     return { AdmissionVerdict::Waiting };
 }
@@ -177,18 +182,18 @@
     ++m_running;
 }
 
-AdmissionDecision Gate::refusal(Reason reason)
+AdmissionDecision Gate::refusal(Reason reason, Duration expected)
 {
     const auto base = shortestRetryAfter + fromSeconds(inSeconds(retryAfterPerLevel) * m_budget.level());
-    return { AdmissionVerdict::Refused, reason, m_random.jittered(base, retryAfterJitter), neededTime() };
+    return { AdmissionVerdict::Refused, reason, m_random.jittered(base, retryAfterJitter), expected };
 }
 
 void Gate::evictWorst(Reason reason) { refuse(std::prev(m_queue.end()), reason); }
 
 void Gate::refuse(Queue::iterator waiting, Reason reason)
 {
-    m_tickets.erase(waiting->second);
-    m_changes.push_back({ waiting->second, {}, refusal(reason) });
+    const auto ticket = m_tickets.extract(waiting->second);
+    m_changes.push_back({ waiting->second, {}, refusal(reason, ticket.mapped().expected) });
     m_queue.erase(waiting);
 }
 
@@ -204,8 +209,10 @@
     m_limit.noteEnd(end, spent, m_running);
     if (end != AdmittedEnd::Overloaded)
         ++m_ends;
-    if (end == AdmittedEnd::Served)
+    if (end == AdmittedEnd::Served) {
+        m_serviceTimes.note(found->second.route, spent, m_clock.now());
         noteServiceTime(inSeconds(spent));
+    }
     m_tickets.erase(found);
     --m_running;
 }
@@ -217,7 +224,6 @@
         m_serviceTime = spent;
         return;
     }
-    m_serviceDeviation += timeSmoothing * (std::abs(spent - m_serviceTime) - m_serviceDeviation);
     m_serviceTime += timeSmoothing * (spent - m_serviceTime);
 }
 
@@ -258,7 +264,7 @@
     for (auto waiting = m_queue.begin(); waiting != m_queue.end();) {
         const auto present = waiting++;
         const auto& ticket = m_tickets.at(present->second);
-        if (cannotFinish(ticket.deadline, now)) {
+        if (ticket.cannotFinish(now)) {
             refuse(present, Reason::DeadlineExceeded);
         } else if (present->first.isNewWork && present->first.importance > lowestLeft) {
             refuse(present, Reason::ShedAtGuard);
@@ -276,14 +282,13 @@
     while (m_running < limit && !m_queue.empty()) {
         const auto best = m_queue.begin();
         auto& ticket = m_tickets.at(best->second);
-        if (cannotFinish(ticket.deadline, now)) {
+        if (ticket.cannotFinish(now)) {
             refuse(best, Reason::DeadlineExceeded);
             continue;
         }
         m_queueTime += timeSmoothing * (inSeconds(now - ticket.since) - m_queueTime);
         start(ticket, now);
-        m_changes.push_back(
-            { best->second, {}, { .verdict = AdmissionVerdict::Admitted, .expected = neededTime() } });
+        m_changes.push_back({ best->second, {}, { AdmissionVerdict::Admitted } });
         m_queue.erase(best);
     }
 }
@@ -296,6 +301,10 @@
     m_budget.update(
         { now - m_updatedAt, m_ends, m_saturated, m_overflowed, m_queue.size(), queueCapacity(), expectedService() });
     m_limit.update(now, m_saturated);
+    if (now - m_forgottenAt >= forgetPeriod) {
+        m_serviceTimes.forget(now);
+        m_forgottenAt = now;
+    }
     m_updatedAt = now;
     m_ends = 0;
     m_served = 0;
@@ -316,11 +325,6 @@
 // A slow backend server frees its slots rarely, so those who wait for one need about as long as it takes.
 Duration Gate::longestWait() const { return std::max(m_settings.queueLimit, expectedService()); }
 
-// Time that a request is taken to need from its start on.
-Duration Gate::neededTime() const { return fromSeconds(m_serviceTime + m_serviceDeviation); }
-
-bool Gate::cannotFinish(Instant deadline, Instant now) const { return now + neededTime() >= deadline; }
-
 // --- Feedback -----------------------------------------------------------------------------------------------------
 
 LoadFeedback Gate::feedback(std::optional<std::string_view> account) const
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/ConcurrencyLimit.h"
+#include "admission/ServiceTimes.h"
 #include "admission/ShedBudget.h"
 
 #include <set>
@@ -17,6 +18,9 @@
     OverloadPolicy policy { OverloadPolicy::FairnessFirst };
 };
 
+/// Whether requests of a route go on to call other services.
+enum class WorkBelow : uint8_t { None, Some };
+
 class Gate {
 public:
     Gate(Clock&, RandomSource&, AdmissionStrategy);
@@ -25,7 +29,7 @@
     bool wantsSettings() const;
     void configure(const GateSettings&);
 
-    AdmissionDecision offer(const RequestContext&, Instant deadline);
+    AdmissionDecision offer(const RequestContext&, Instant deadline, WorkBelow);
     void finished(const AttemptId&, AdmittedEnd);
     void abandon(const AttemptId&);
     void settle(std::string_view service, std::vector<AdmissionChange>&);
@@ -44,10 +48,14 @@
         auto operator<=>(const Place&) const = default; // NOLINT(modernize-use-nullptr)
     };
     struct Ticket {
+        RouteName route;
         Place place;
         Instant deadline;
+        // Least time that it is expected to need from its start on.
+        Duration expected { 0 };
         Instant since;
         bool waiting { false };
+        bool cannotFinish(Instant now) const { return now + expected >= deadline; }
     };
     using Queue = std::map<Place, AttemptId>;
     // What a strategy decides. Rows in the order of AdmissionStrategy.
@@ -73,20 +81,18 @@
     bool isDroppedByDelay(const Ticket&, Instant);
     bool isNeverDropped(const Ticket&, Instant);
 
-    AdmissionDecision enqueueOrRefuse(const RequestContext&, Instant deadline, Instant now);
+    AdmissionDecision enqueueOrRefuse(const RequestContext&, Ticket);
     void update(Instant);
     void start(Ticket&, Instant);
     void evictWorst(Reason);
     void refuse(Queue::iterator, Reason);
     void refuseLate(Instant);
     void startWaiting(Instant);
-    AdmissionDecision refusal(Reason);
+    AdmissionDecision refusal(Reason, Duration expected = Duration(0));
     void noteServiceTime(double spent);
     Duration expectedService() const;
     double queueCapacity() const;
     Duration longestWait() const;
-    Duration neededTime() const;
-    bool cannotFinish(Instant deadline, Instant now) const;
 
     Clock& m_clock;
     RandomSource& m_random;
@@ -103,12 +109,14 @@
     std::vector<AdmissionChange> m_changes;
     uint32_t m_running { 0 };
     uint64_t m_sequence { 0 };
+    ServiceTimes m_serviceTimes;
+    // Over all that is served.
     double m_serviceTime { 0 }; // seconds
-    double m_serviceDeviation { 0 }; // seconds
     double m_queueTime { 0 }; // seconds
     // Since the last update.
     Instant m_updatedAt;
     Instant m_scannedAt;
+    Instant m_forgottenAt;
     uint32_t m_ends { 0 };
     uint32_t m_served { 0 };
     bool m_saturated { false };
--- /dev/null
+++ b/src/admission/ServiceTimes.cpp
@@ -0,0 +1,50 @@
+#include "admission/ServiceTimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // Least weight of a new sample; the first ones are averaged evenly.
+    constexpr double smoothing = 0.05;
+    constexpr uint32_t samplesNeeded = 8;
+    // How long a route's times are believed when no further request of it is served.
+    constexpr Duration evidenceLife = seconds(2);
+
+} // namespace
+
+void ServiceTimes::note(std::string_view route, Duration time, Instant now)
+{
+    auto found = m_routes.find(route);
+    if (found == m_routes.end())
+        found = m_routes.emplace(route, Times {}).first;
+    auto& times = found->second;
+    if (now - times.at > evidenceLife)
+        times = {};
+    times.at = now;
+    ++times.samples;
+    const double seconds = std::chrono::duration<double>(time).count();
+    const double weight = std::max(smoothing, 1.0 / times.samples);
+    if (times.samples > 1)
+        times.deviation += weight * (std::abs(seconds - times.mean) - times.deviation);
+    times.mean += weight * (seconds - times.mean);
+}
+
+Duration ServiceTimes::least(std::string_view route, Instant now) const
+{
+    const auto found = m_routes.find(route);
+    if (found == m_routes.end() || found->second.samples < samplesNeeded || now - found->second.at > evidenceLife)
+        return Duration(0);
+    const auto& times = found->second;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::max(0.0, times.mean - times.deviation)));
+}
+
+void ServiceTimes::forget(Instant now)
+{
+    std::erase_if(m_routes, [&](const auto& entry) { return now - entry.second.at > evidenceLife; });
+}
+
+} // namespace Vanillaridge
--- a/src/admission/ShedBudget.h
+++ b/src/admission/ShedBudget.h
@@ -49,10 +49,6 @@
         ByClass fresh {};
         ByClass rate {};
     };
-    struct NameHash {
-        using is_transparent = void;
-        size_t operator()(std::string_view name) const { return std::hash<std::string_view>()(name); }
-    };
     using Accounts = std::unordered_map<AccountName, Account, NameHash, std::equal_to<>>;
     using Divide = double (ShedBudget::*)(double budget) const;
     using Survive = double (ShedBudget::*)(const Account&) const;
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -139,6 +139,12 @@
 /// Reads what toText wrote; nothing when the text is malformed.
 std::optional<RequestId> requestIdFromText(std::string_view);
 
+/// Finds names in hash tables by views of them.
+struct NameHash {
+    using is_transparent = void;
+    size_t operator()(std::string_view name) const { return std::hash<std::string_view>()(name); }
+};
+
 using AccountName = std::string;
 using ServiceName = std::string;
 using RouteName = std::string;
--- a/tests/MixedWorkTests.cpp
+++ b/tests/MixedWorkTests.cpp
@@ -104,6 +104,66 @@
     BOOST_TEST((decision.verdict == AdmissionVerdict::Admitted));
 }
 
+BOOST_AUTO_TEST_CASE(ThenOneThatItsRouteCannotFinishIsTriedUnlessItsCallsWouldBeLost)
+{
+    MixedServer server;
+    server.serve("sign", 100, seconds(1));
+    BOOST_TEST((server.offerWithin(server.requestOf("sign"), milliseconds(500)).verdict == AdmissionVerdict::Admitted));
+    server.board.routeCalls().update("sign", [](RouteCallsRecord& record) {
+        record.requests = 100;
+        record.calls["photo-index"] = 100;
+    });
+    const auto decision = server.offerWithin(server.requestOf("sign"), milliseconds(500));
+    BOOST_TEST((decision.reason == Reason::DeadlineExceeded));
+    BOOST_TEST((decision.expected == seconds(1)));
+    BOOST_TEST((server.offerWithin(server.requestOf("sign"), seconds(2)).verdict == AdmissionVerdict::Admitted));
+}
+
+BOOST_AUTO_TEST_CASE(ThenOneWhoseTimeHasPassedIsRefused)
+{
+    MixedServer server;
+    const auto decision = server.offerWithin(server.requestOf("status"), Duration(0));
+    BOOST_TEST((decision.reason == Reason::DeadlineExceeded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenNoSlotIsFree)
+
+BOOST_AUTO_TEST_CASE(ThenOneThatItsRouteCannotFinishIsRefusedAndOthersWait)
+{
+    MixedServer server(1);
+    server.serve("sign", 100, seconds(1));
+    server.serve("status", 100, milliseconds(20));
+    server.offer(server.requestOf("sign"));
+    BOOST_TEST((server.offerWithin(server.requestOf("sign"), milliseconds(500)).reason == Reason::DeadlineExceeded));
+    const auto waits = server.requestOf("status");
+    BOOST_TEST((server.offerWithin(waits, milliseconds(500)).verdict == AdmissionVerdict::Waiting));
+
+    // Its time runs out while it waits.
+    server.clock.advance(milliseconds(490));
+    const auto changes = server.settle();
+    BOOST_REQUIRE(changes.size() == 1u);
+    BOOST_TEST((changes[0].attempt == waits.attempt));
+    BOOST_TEST((changes[0].decision.reason == Reason::DeadlineExceeded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenARouteWasSlowForAWhile)
+
+BOOST_AUTO_TEST_CASE(ThenItIsTriedAgainAndNotRefusedForWhatItOnceTook)
+{
+    MixedServer server(1);
+    server.serve("status", 100, seconds(1));
+    server.offer(server.requestOf("sign"));
+    const auto refused = server.offerWithin(server.requestOf("status"), milliseconds(500));
+    BOOST_TEST((refused.reason == Reason::DeadlineExceeded));
+    server.clock.advance(seconds(3));
+    const auto tried = server.offerWithin(server.requestOf("status"), milliseconds(500));
+    BOOST_TEST((tried.verdict == AdmissionVerdict::Waiting));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenAllThatComesFits)
