Ask a contact for the members while none is known

Cause: a node introduces itself with its first probe. Whoever gets it takes it up, and answers as to a member that it knows, with what is new; that the others are there is not new. So the node went on knowing nobody, held no slot, knew no holder, and could compare no digests, until gossip of some change named somebody. The two added nodes sent no pull in 13 s. In a test with 92 members a new one knew only itself after 2 s, and one that started again 69 of 92.

A node that knows nobody now sends its digest to the contact with the probe; the answer brings the members, and the usual exchange the rest. Ruled out as cause: the byte allowance (old nodes sent 1.4 KB/s of 3), lost datagrams. The same in all starts of a node in a running fleet, planned or not. ThenWhoeverJoinsSoonKnowsTheOthers failed before.

--- a/src/membership/Probing.cpp
+++ b/src/membership/Probing.cpp
@@ -56,8 +56,12 @@
     if (contacts.empty())
         return;
     const auto& contact = contacts[random.below(contacts.size())];
-    if (!table.live().contains(NodeId::of(contact)))
-        sendProbe(contact, std::nullopt, now, effects);
+    if (table.live().contains(NodeId::of(contact)))
+        return;
+    sendProbe(contact, std::nullopt, now, effects);
+    // A probe introduces this node, and is answered with what is new: that the others are there is old news to them.
+    if (alone)
+        send(contact, MemberDigest { table.digest(), true, news() }, effects);
 }
 
 // Follows up each probe that has waited too long.
--- a/tests/MembershipTests.cpp
+++ b/tests/MembershipTests.cpp
@@ -46,6 +46,26 @@
     BOOST_TEST(fleet.runUntil(seconds(15), [&] { return fleet.agrees(); }).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(ThenWhoeverJoinsSoonKnowsTheOthers)
+{
+    // Callers come once a node says that it is ready, and it cannot serve them before it knows the others.
+    constexpr Duration limit = seconds(2);
+    constexpr size_t size = 92;
+    for (const size_t joiner : { size, size_t { 7 } }) {
+        FakeFleet fleet(seed);
+        fleet.startAll(size);
+        fleet.runUntil(minute, [&] { return fleet.agrees(); });
+        fleet.run(minute);
+        if (joiner < size)
+            fleet.kill(joiner);
+        auto& member = fleet.start(joiner, 4, 2);
+        BOOST_TEST_CONTEXT((joiner < size ? "a node that starts again" : "a new node"))
+        BOOST_TEST(
+            fleet.runUntil(limit, [&] { return member.membership.liveMembers() >= size - size / 20; }).has_value(),
+            "knows " << member.membership.liveMembers());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ThenALeaveIsKnownWithinSecondsAndWithoutSuspicion)
 {
     FakeFleet fleet(seed);
