Ask another source for tokens only once a pull is late by what pulls take here

What callers saw: where event loops lag, accounts within their rate are answered over-rate.

Cause: a pull counted as late after a fixed 30 ms, although both nodes may be 10 to 30 ms late for each step. A late source was also not asked for a second.

A pull is now late by the smoothed round trip of pulls and four deviations, 30 ms at least, and only its end says that its source cannot be reached.

--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -196,6 +196,7 @@
             return;
         const Pull pull = *found;
         pool.pulls.erase(found);
+        noteRoundTrip(now - pull.sentAt);
         const double amount = std::min(grant.tokens, pull.wanted);
         addTokens(pool, amount, pull.sentAt + grant.lifetime);
         noteResult(pool, pull.index, pull.wanted, { amount, grant.retryAfter, grant.left }, now);
--- a/src/quota/Pools.h
+++ b/src/quota/Pools.h
@@ -148,6 +148,8 @@
     void endWaits(Pool&, Instant now, Effects&);
     void endPulls(Pool&, Instant now);
     void hedgePulls(Pool&, Instant now);
+    void noteRoundTrip(Duration);
+    Duration hedgeAfter();
     void sweep(Instant now);
     void finish(const AccountName&, Effects&);
     PlansPointer plans();
@@ -166,6 +168,9 @@
     /// Accounts with requests that wait or pulls under way.
     std::vector<AccountName> m_listed;
     Instant m_sweptAt { Instant::min() };
+    // Of pulls that were answered, in nanoseconds.
+    double m_roundTrip { 0 };
+    double m_roundTripDeviation { 0 };
     Sharded<AccountName, Pool> m_pools;
 };
 
--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -36,8 +36,8 @@
     double clockDrift { 0.0005 };
     /// Longest time that a request waits for tokens on their way.
     Duration patience { milliseconds(250) };
-    /// How long a pull may be unanswered before its tokens are asked of another source as well: many times a round trip
-    /// between zones.
+    /// Least time that a pull is unanswered before its tokens are asked of another source as well: many times a round
+    /// trip between zones. Where pulls take longer, because nodes lag, it is longer as well.
     Duration pullHedge { milliseconds(30) };
     /// How long a node waits for the answer to a pull.
     Duration pullTimeout { milliseconds(300) };
--- a/src/quota/Upkeep.cpp
+++ b/src/quota/Upkeep.cpp
@@ -2,6 +2,7 @@
 #include "quota/Pools.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Vanillaridge {
 
@@ -9,6 +10,9 @@
 
     constexpr Duration sweepInterval = seconds(1);
     constexpr double forgottenDemand = 0.01;
+    // Weight of a pull in the smoothed round trip, and by how many deviations a late one exceeds it.
+    constexpr double roundTripSmoothing = 0.05;
+    constexpr double lateDeviations = 4;
 
 } // namespace
 
@@ -50,15 +54,32 @@
     });
 }
 
-// What a source does not answer in time is asked of the next one; tokens that come late all the same are welcome.
+// What a source does not answer in time is asked of the next one; tokens that come late all the same are welcome. Only
+// the end of the pull says that the source cannot be reached: its node, or this one, may be slow.
 void Pools::hedgePulls(Pool& pool, Instant now)
 {
-    for (auto& pull : pool.pulls) {
-        if (pull.late || now - pull.sentAt < m_settings.pullHedge)
-            continue;
-        pull.late = true;
-        noteResult(pool, pull.index, pull.wanted, { 0, unreachableRetry, 0 }, now);
-    }
+    const auto patience = hedgeAfter();
+    for (auto& pull : pool.pulls)
+        pull.late = pull.late || now - pull.sentAt >= patience;
+}
+
+void Pools::noteRoundTrip(Duration time)
+{
+    std::lock_guard guard(m_lock);
+    const double seen = double(time.count());
+    if (m_roundTrip <= 0)
+        m_roundTrip = seen;
+    m_roundTripDeviation += roundTripSmoothing * (std::abs(seen - m_roundTrip) - m_roundTripDeviation);
+    m_roundTrip += roundTripSmoothing * (seen - m_roundTrip);
+}
+
+// What was asked twice is drawn twice, and half of it expires: so a pull must be late by what pulls take here of late,
+// which grows with the lag of the nodes.
+Duration Pools::hedgeAfter()
+{
+    std::lock_guard guard(m_lock);
+    const Duration usual(static_cast<Duration::rep>(m_roundTrip + lateDeviations * m_roundTripDeviation));
+    return std::clamp(usual, m_settings.pullHedge, std::max(m_settings.pullHedge, m_settings.pullTimeout));
 }
 
 void Pools::endWaits(Pool& pool, Instant now, Effects& effects)
--- a/tests/QuotaTests.cpp
+++ b/tests/QuotaTests.cpp
@@ -301,6 +301,35 @@
     BOOST_TEST(world.histories["large"].admitted() >= 4000u);
 }
 
+BOOST_AUTO_TEST_SUITE(WhenTheNodesLag)
+
+BOOST_AUTO_TEST_CASE(ThenNoTokenIsFetchedTwiceAndAnAccountWithinItsRateIsServed)
+{
+    QuotaWorld world(16, shortTerms(), declare({ { "owner", 24, 24, {} } }), 1);
+    world.run(seconds(10));
+    world.delivery.delay = milliseconds(20);
+    world.delivery.jitter = milliseconds(10);
+    const auto pulls = [&] {
+        uint64_t sum = 0;
+        for (const auto& node : world.nodes)
+            sum += node->board.counters().value(Counter::QuotaPulls);
+        return sum;
+    };
+    for (int i = 0; i < 20'000; ++i) {
+        world.step();
+        if (world.random->unit() < 0.016)
+            world.request(world.random->below(world.nodes.size()), "owner");
+    }
+    world.run(milliseconds(500));
+    const auto& history = world.histories["owner"];
+    const auto inRate = history.inRate(24, 24);
+    BOOST_TEST(inRate.refused <= inRate.owed / 50);
+    BOOST_TEST(pulls() <= history.arrivals() * 6 / 5);
+    BOOST_TEST(history.excess(24, 24) <= 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenEveryMessageComesTwice)
 
 BOOST_AUTO_TEST_CASE(ThenTokensDoNotMultiply)
