Read the running attempts for likely parents every 10 ms

Each call without a parent walked all attempts that run beside its node, under the locks of all shards, and copied the contexts that it drew on its way. The nodes beside the service in the middle of the chain pass on thousands of such calls a second beside hundreds of attempts.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -30,6 +30,17 @@
         return unitOfHash(mixHash(context.treeHash, 1)) < share;
     }
 
+    // How often the running attempts are read for the parents that calls may have.
+    constexpr Duration parentsPeriod = milliseconds(10);
+
+    // What a call takes over from the request that it is likely to belong to.
+    struct LikelyParent {
+        Importance importance;
+        double represents;
+        uint32_t depth;
+        RouteName route;
+    };
+
     // Retry-After of a request that comes before the first configuration, or while it is not confirmed.
     constexpr Duration configurationRetry = seconds(2);
 
@@ -61,16 +72,24 @@
         return { self.id(), self.boot, mixHash(sequenceSecret, sequence.fetch_add(1, std::memory_order_relaxed)) };
     }
 
-    // One of the attempts that run beside this node, each as likely as the others; nothing when there is none.
-    std::optional<RequestContext> likelyParent()
+    // One of the attempts that run beside this node, each as likely as the others; nothing when there is none. They are
+    // read now and then: a node may pass on thousands of calls a second beside hundreds of attempts.
+    std::optional<LikelyParent> likelyParent()
     {
-        std::optional<RequestContext> drawn;
-        uint64_t seen = 0;
-        board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
-            if (record.state == AttemptState::Started && random.below(++seen) == 0)
-                drawn = record.context;
-        });
-        return drawn;
+        std::lock_guard guard(parentsLock);
+        const auto now = clock.now();
+        if (parents.empty() || now - parentsReadAt >= parentsPeriod) {
+            parentsReadAt = now;
+            parents.clear();
+            board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
+                const auto& context = record.context;
+                if (record.state == AttemptState::Started)
+                    parents.push_back({ context.importance, context.represents, context.depth, context.route });
+            });
+        }
+        if (parents.empty())
+            return std::nullopt;
+        return parents[random.below(parents.size())];
     }
 
     // Whether the request has come back after a refusal, as the time that its caller still gives it shows.
@@ -127,6 +146,9 @@
     RandomSource& random;
     const Freshness& freshness;
     Retry& retry;
+    std::mutex parentsLock;
+    Instant parentsReadAt;
+    std::vector<LikelyParent> parents;
     /// Longest time that callers of a route have given of late, in nanoseconds.
     Sharded<RouteName, double> longest;
     /// Where each route with several services stands in its turns, from 0 to 1.
--- a/tests/EntryTests.cpp
+++ b/tests/EntryTests.cpp
@@ -124,6 +124,19 @@
     BOOST_TEST(counts[Importance::Critical] < 250);
 }
 
+BOOST_AUTO_TEST_CASE(ThenWorkThatHasEndedSoonCountsNoMore)
+{
+    run(1, "sign", Importance::Critical);
+    BOOST_TEST(!decide("rides.example", "/registry/1").context.parentKnown);
+    board.attempts().eraseIf([](const AttemptId&, const AttemptRecord&) { return true; });
+    run(2, "look-up", Importance::Low);
+    clock.advance(milliseconds(10));
+    BOOST_TEST((decide("rides.example", "/registry/1").context.importance == Importance::Low));
+    board.attempts().eraseIf([](const AttemptId&, const AttemptRecord&) { return true; });
+    clock.advance(milliseconds(10));
+    BOOST_TEST(decide("rides.example", "/registry/1").context.parentKnown);
+}
+
 BOOST_AUTO_TEST_CASE(ThenWithoutWorkItIsACallersRequest)
 {
     const auto decision = decide("rides.example", "/registry/1");
