Deal out processor time by what is asked when a node lags

Cause: a node shed by a fixed level for its lag, the lowest class from 10 to 25 ms, the next from 25 to 40. Nobody sends the lowest class there, so nothing was shed below 25 ms. Class of fault: a threshold on a scale that has nothing to do with what is asked.

What waits in the event loop is now a queue to a second budget, full at 20 ms: shedding starts at 10 ms, steers to 5, and follows what each class and account asks for; the most important class is never shed for it.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -18,19 +18,6 @@
     // guard while a hundred come.
     constexpr double probeFraction = 0.01;
 
-    // Lag of this node from which on work is shed for it where it enters, and how much more sheds a whole class. A
-    // request of the deployments served passes a lagging node some twenty times (five calls in a row, each there and
-    // back at two nodes), and has 1.5 s: 40 ms a step are too many. The highest class is left to the limits that its
-    // own servers set.
-    constexpr Duration sheddingLag = milliseconds(10);
-    constexpr Duration lagPerClass = milliseconds(15);
-    constexpr double highestLevelForLag = importanceCount - 1;
-
-    double shedLevelOfLag(Duration lag)
-    {
-        return std::clamp(double((lag - sheddingLag).count()) / double(lagPerClass.count()), 0.0, highestLevelForLag);
-    }
-
 } // namespace
 
 struct Admission::State {
@@ -203,8 +190,9 @@
 std::vector<AdmissionChange> Admission::settle()
 {
     std::vector<AdmissionChange> changes;
-    m_state->gates.forEach(
-        [&](const ServiceName& service, std::unique_ptr<Gate>& gate) { gate->settle(service, changes); });
+    m_state->gates.forEach([&](const ServiceName& service, std::unique_ptr<Gate>& gate) {
+        gate->settle(service, m_state->board.lag(), changes);
+    });
     return changes;
 }
 
@@ -218,8 +206,7 @@
 {
     auto load = m_state->loadOf(context.service, context.account);
     m_state->board.routeCalls().visit(context.route, [](RouteCallsRecord& record) { record.requests += 1; });
-    load.shedLevel
-        = std::max({ load.shedLevel, m_state->shedLevelBelow(context), shedLevelOfLag(m_state->board.lag()) });
+    load.shedLevel = std::max(load.shedLevel, m_state->shedLevelBelow(context));
     return load;
 }
 
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -18,6 +18,12 @@
     // While nothing is served, the smoothed service time is forgotten: a wrong one must not refuse everything for good.
     constexpr double serviceTimeMemory = 1; // seconds
     constexpr double shortestQueue = 4;
+    // Lag of the node at which its event loop counts as full. Work is shed from half of it on, and steered to a
+    // quarter: a request of the deployments served passes a lagging node some twenty times (five calls in a row, each
+    // there and back at two nodes), and has 1.5 s.
+    constexpr Duration fullLag = milliseconds(20);
+    // The highest class is left to the limits that its own servers set.
+    constexpr double highestLevelForLag = importanceCount - 1;
     // Baseline: drops by delay start when requests have waited this long for that time.
     constexpr Duration delayTarget = milliseconds(5);
     constexpr Duration delayInterval = milliseconds(100);
@@ -66,6 +72,7 @@
     m_configuredAt = now;
     m_settings = settings;
     m_budget.choose(settings.policy);
+    m_lagBudget.choose(settings.policy);
     m_limit.configure(settings.slots, m_coldSince, settings.slowStart);
 }
 
@@ -133,6 +140,7 @@
     if (m_tickets.contains(context.attempt))
         return refusal(Reason::Duplicate);
     m_budget.noteOffer(context.importance, context.account, context.represents);
+    m_lagBudget.noteOffer(context.importance, context.account, context.represents);
     const bool isFree = m_queue.empty() && m_running < (this->*m_strategy.limit)(now);
     const bool isCheap = isFree && below == WorkBelow::None;
     Ticket ticket { context.route, {}, deadline, m_serviceTimes.least(context.route, now), now };
@@ -239,7 +247,7 @@
 
 // --- Decisions on those who wait ------------------------------------------------------------------------------------
 
-void Gate::settle(std::string_view service, std::vector<AdmissionChange>& changes)
+void Gate::settle(std::string_view service, Duration lag, std::vector<AdmissionChange>& changes)
 {
     std::lock_guard guard(m_lock);
     const auto now = m_clock.now();
@@ -249,7 +257,7 @@
     }
     startWaiting(now);
     if (now - m_updatedAt >= updatePeriod)
-        update(now);
+        update(now, lag);
     for (auto& change : std::exchange(m_changes, {})) {
         change.service = service;
         changes.push_back(std::move(change));
@@ -293,13 +301,24 @@
     }
 }
 
-void Gate::update(Instant now)
+// Requests that the event loop has not come to are a queue like that before the backend server: as many as the lag
+// holds of those that leave.
+void Gate::updateLagBudget(Instant now, Duration lag)
+{
+    const auto elapsed = now - m_updatedAt;
+    const double rate = m_ends / inSeconds(elapsed);
+    m_lagBudget.update({ elapsed, m_ends, lag > fullLag / 4, lag > fullLag / 2,
+        static_cast<size_t>(rate * inSeconds(lag)), rate * inSeconds(fullLag), Duration(0) });
+}
+
+void Gate::update(Instant now, Duration lag)
 {
     m_saturated |= !m_queue.empty();
     if (!m_served)
         m_serviceTime *= std::exp(-inSeconds(now - m_updatedAt) / serviceTimeMemory);
     m_budget.update(
         { now - m_updatedAt, m_ends, m_saturated, m_overflowed, m_queue.size(), queueCapacity(), expectedService() });
+    updateLagBudget(now, lag);
     m_limit.update(now, m_saturated);
     if (now - m_forgottenAt >= forgetPeriod) {
         m_serviceTimes.forget(now);
@@ -334,7 +353,9 @@
     load.running = m_running;
     load.waiting = static_cast<uint32_t>(m_queue.size());
     load.limit = (this->*m_strategy.limit)(m_clock.now());
+    const double levelForLag = account ? m_lagBudget.level(*account) : m_lagBudget.level();
     load.shedLevel = account ? m_budget.level(*account) : m_budget.level();
+    load.shedLevel = std::max(load.shedLevel, std::min(levelForLag, highestLevelForLag));
     load.serviceTime = expectedService();
     load.queueTime = fromSeconds(m_queueTime);
     return load;
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -32,7 +32,8 @@
     AdmissionDecision offer(const RequestContext&, Instant deadline, WorkBelow);
     void finished(const AttemptId&, AdmittedEnd);
     void abandon(const AttemptId&);
-    void settle(std::string_view service, std::vector<AdmissionChange>&);
+    /// Decides on those who wait. The lag is that of this node, in whose event loop requests wait as well.
+    void settle(std::string_view service, Duration lag, std::vector<AdmissionChange>&);
 
     /// Load of the backend server; the shed level is that of the account, or of all when there is none.
     LoadFeedback feedback(std::optional<std::string_view> account) const;
@@ -82,7 +83,8 @@
     bool isNeverDropped(const Ticket&, Instant);
 
     AdmissionDecision enqueueOrRefuse(const RequestContext&, Ticket);
-    void update(Instant);
+    void update(Instant, Duration lag);
+    void updateLagBudget(Instant, Duration lag);
     void start(Ticket&, Instant);
     void evictWorst(Reason);
     void refuse(Queue::iterator, Reason);
@@ -103,7 +105,9 @@
     bool m_configured { false };
     Instant m_coldSince;
     ConcurrencyLimit m_limit;
+    // What the backend server can take, and what the node beside it has processor time for.
     ShedBudget m_budget { OverloadPolicy::FairnessFirst };
+    ShedBudget m_lagBudget { OverloadPolicy::FairnessFirst };
     std::unordered_map<AttemptId, Ticket> m_tickets;
     Queue m_queue;
     std::vector<AdmissionChange> m_changes;
