Refuse what will probably not finish only where room further down is short

The first form of judging a route by its own requests started everything that could possibly finish, also at the head of a chain whose end sheds load: what it calls there is lost with it.

While a service that a request goes on to call sheds load, a route's requests are refused that have less time left than mean and deviation of their own route, as before; where only the room here is short, less than mean without deviation; where nothing is short, nothing is refused but what has run out of time.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -104,11 +104,6 @@
         return needed;
     }
 
-    WorkBelow workBelow(const RouteName& route)
-    {
-        return neededRoutes(route).empty() ? WorkBelow::None : WorkBelow::Some;
-    }
-
     double shedLevelBelow(const RequestContext& context)
     {
         double level = 0;
@@ -124,6 +119,11 @@
         return level;
     }
 
+    RoomBelow roomBelow(const RequestContext& context)
+    {
+        return shedLevelBelow(context) > 0 ? RoomBelow::Short : RoomBelow::Enough;
+    }
+
     // Whether a request that enters the tree here would be shed further down, so that all work for it would be wasted.
     // The guards of a service see all its requests, and know such loads when an entry that has few of them does not.
     bool isShedBelow(const RequestContext& context)
@@ -172,7 +172,7 @@
     auto& gate = m_state->gateOf(context.service);
     if (gate.wantsSettings())
         gate.configure(m_state->settingsOf(context.service, *announcement));
-    return gate.offer(context, deadline, m_state->workBelow(context.route));
+    return gate.offer(context, deadline, m_state->roomBelow(context));
 }
 
 void Admission::finished(std::string_view service, const AttemptId& attempt, AdmittedEnd end)
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -131,20 +131,24 @@
 
 // --- Offers -------------------------------------------------------------------------------------------------------
 
-AdmissionDecision Gate::offer(const RequestContext& context, Instant deadline, WorkBelow below)
+AdmissionDecision Gate::offer(const RequestContext& context, Instant deadline, RoomBelow below)
 {
     std::lock_guard guard(m_lock);
     const auto now = m_clock.now();
 
-    // 1. Once only, and only if there is time for it. Where a slot is free and nothing is called, trying costs nothing.
+    // 1. Once only, and only if there is time for it. Where room is short here, what cannot be finished makes way;
+    // where it is short further down, also what will probably not be. Otherwise trying costs nobody anything.
     if (m_tickets.contains(context.attempt))
         return refusal(Reason::Duplicate);
     m_budget.noteOffer(context.importance, context.account, context.represents);
     m_lagBudget.noteOffer(context.importance, context.account, context.represents);
     const bool isFree = m_queue.empty() && m_running < (this->*m_strategy.limit)(now);
-    const bool isCheap = isFree && below == WorkBelow::None;
-    Ticket ticket { context.route, {}, deadline, m_serviceTimes.least(context.route, now), now };
-    if (now >= deadline || (!isCheap && ticket.cannotFinish(now)))
+    Ticket ticket { context.route, {}, deadline, Duration(0), now };
+    if (below == RoomBelow::Short)
+        ticket.expected = m_serviceTimes.usual(context.route, now);
+    else if (!isFree)
+        ticket.expected = m_serviceTimes.least(context.route, now);
+    if (ticket.cannotFinish(now))
         return refusal(Reason::DeadlineExceeded, ticket.expected);
 
     // 2. A free slot is used, whatever the shed level.
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -18,8 +18,8 @@
     OverloadPolicy policy { OverloadPolicy::FairnessFirst };
 };
 
-/// Whether requests of a route go on to call other services.
-enum class WorkBelow : uint8_t { None, Some };
+/// Whether a service that a request goes on to call sheds load.
+enum class RoomBelow : uint8_t { Enough, Short };
 
 class Gate {
 public:
@@ -29,7 +29,7 @@
     bool wantsSettings() const;
     void configure(const GateSettings&);
 
-    AdmissionDecision offer(const RequestContext&, Instant deadline, WorkBelow);
+    AdmissionDecision offer(const RequestContext&, Instant deadline, RoomBelow);
     void finished(const AttemptId&, AdmittedEnd);
     void abandon(const AttemptId&);
     /// Decides on those who wait. The lag is that of this node, in whose event loop requests wait as well.
--- a/src/admission/ServiceTimes.cpp
+++ b/src/admission/ServiceTimes.cpp
@@ -32,14 +32,18 @@
     times.mean += weight * (seconds - times.mean);
 }
 
-Duration ServiceTimes::least(std::string_view route, Instant now) const
+Duration ServiceTimes::least(std::string_view route, Instant now) const { return estimate(route, now, -1); }
+
+Duration ServiceTimes::usual(std::string_view route, Instant now) const { return estimate(route, now, 1); }
+
+Duration ServiceTimes::estimate(std::string_view route, Instant now, double deviations) const
 {
     const auto found = m_routes.find(route);
     if (found == m_routes.end() || found->second.samples < samplesNeeded || now - found->second.at > evidenceLife)
         return Duration(0);
     const auto& times = found->second;
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(std::max(0.0, times.mean - times.deviation)));
+        std::chrono::duration<double>(std::max(0.0, times.mean + deviations * times.deviation)));
 }
 
 void ServiceTimes::forget(Instant now)
--- a/src/admission/ServiceTimes.h
+++ b/src/admission/ServiceTimes.h
@@ -15,8 +15,10 @@
 public:
     /// A request of the route was served.
     void note(std::string_view route, Duration, Instant now);
-    /// Time that most requests of the route need at least; 0 while too few were timed of late.
+    /// Time that most requests of the route need at least, and that most of them do not exceed; 0 while too few were
+    /// timed of late.
     Duration least(std::string_view route, Instant now) const;
+    Duration usual(std::string_view route, Instant now) const;
     /// Drops routes of which nothing is known any more.
     void forget(Instant now);
 
@@ -27,6 +29,8 @@
         uint32_t samples { 0 };
         Instant at;
     };
+    Duration estimate(std::string_view route, Instant now, double deviations) const;
+
     std::unordered_map<RouteName, Times, NameHash, std::equal_to<>> m_routes;
 };
 
--- a/tests/MixedWorkTests.cpp
+++ b/tests/MixedWorkTests.cpp
@@ -104,7 +104,7 @@
     BOOST_TEST((decision.verdict == AdmissionVerdict::Admitted));
 }
 
-BOOST_AUTO_TEST_CASE(ThenOneThatItsRouteCannotFinishIsTriedUnlessItsCallsWouldBeLost)
+BOOST_AUTO_TEST_CASE(ThenOneThatItsRouteCannotFinishIsTriedUnlessAServiceThatItCallsShedsLoad)
 {
     MixedServer server;
     server.serve("sign", 100, seconds(1));
@@ -113,6 +113,10 @@
         record.requests = 100;
         record.calls["photo-index"] = 100;
     });
+    BOOST_TEST((server.offerWithin(server.requestOf("sign"), milliseconds(500)).verdict == AdmissionVerdict::Admitted));
+    server.board.shedRecords().update({ "photo-index", "" }, [&](ShedRecord& record) {
+        record = { 0.1, server.clock.now(), 0, 0 };
+    });
     const auto decision = server.offerWithin(server.requestOf("sign"), milliseconds(500));
     BOOST_TEST((decision.reason == Reason::DeadlineExceeded));
     BOOST_TEST((decision.expected == seconds(1)));
