Look up the load below once for each offer

A second read of the change: an offer at the first guard looked up the levels further down twice, the end of an attempt read the clock twice, and two comments said less than what the fields hold. Behaviour is the same.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -119,18 +119,12 @@
         return level;
     }
 
-    RoomBelow roomBelow(const RequestContext& context)
-    {
-        return shedLevelBelow(context) > 0 ? RoomBelow::Short : RoomBelow::Enough;
-    }
-
     // Whether a request that enters the tree here would be shed further down, so that all work for it would be wasted.
     // The guards of a service see all its requests, and know such loads when an entry that has few of them does not.
-    bool isShedBelow(const RequestContext& context)
+    bool isShedBelow(const RequestContext& context, double level)
     {
         if (strategy != AdmissionStrategy::Adaptive || !context.parentKnown || context.depth > 1)
             return false;
-        const double level = shedLevelBelow(context);
         const double survival = survivalAt(context.importance, level);
         if (survival >= 1)
             return false;
@@ -167,12 +161,13 @@
         return { AdmissionVerdict::Refused, Reason::NoServer };
     if (announcement->draining || m_state->board.draining())
         return { AdmissionVerdict::Refused, Reason::Draining };
-    if (m_state->isShedBelow(context))
+    const double levelBelow = m_state->shedLevelBelow(context);
+    if (m_state->isShedBelow(context, levelBelow))
         return { AdmissionVerdict::Refused, Reason::ShedAtGuard };
     auto& gate = m_state->gateOf(context.service);
     if (gate.wantsSettings())
         gate.configure(m_state->settingsOf(context.service, *announcement));
-    return gate.offer(context, deadline, m_state->roomBelow(context));
+    return gate.offer(context, deadline, levelBelow > 0 ? RoomBelow::Short : RoomBelow::Enough);
 }
 
 void Admission::finished(std::string_view service, const AttemptId& attempt, AdmittedEnd end)
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -217,12 +217,13 @@
     const auto found = m_tickets.find(attempt);
     if (found == m_tickets.end() || found->second.waiting)
         return;
-    const auto spent = m_clock.now() - found->second.since;
+    const auto now = m_clock.now();
+    const auto spent = now - found->second.since;
     m_limit.noteEnd(end, spent, m_running);
     if (end != AdmittedEnd::Overloaded)
         ++m_ends;
     if (end == AdmittedEnd::Served) {
-        m_serviceTimes.note(found->second.route, spent, m_clock.now());
+        m_serviceTimes.note(found->second.route, spent, now);
         noteServiceTime(inSeconds(spent));
     }
     m_tickets.erase(found);
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -52,7 +52,7 @@
         RouteName route;
         Place place;
         Instant deadline;
-        // Least time that it is expected to need from its start on.
+        // Time that it must have left when it starts; 0 when nothing is known, or no room is short.
         Duration expected { 0 };
         Instant since;
         bool waiting { false };
--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -89,7 +89,7 @@
     double tokens { 0 };
     /// Tokens asked for and not answered yet.
     double pulled { 0 };
-    /// Other requests of the account that wait here.
+    /// Requests of the account that wait here, this one included if it has waited.
     size_t waiting { 0 };
     /// Time that this request has waited.
     Duration waited { 0 };
