Tell requests of one account apart by the importance of their routes

Callers saw bookings, briefings and look-ups shed by the same share, although their routes declare different importance.

A request now has a rank: the account's importance first, the route's among those of like accounts.

--- a/bench/AdmissionBench.cpp
+++ b/bench/AdmissionBench.cpp
@@ -72,7 +72,7 @@
         context.account = "account-" + std::to_string(sequence % accounts);
         context.service = service(ofService);
         context.route = "route-" + std::to_string(ofService);
-        context.importance = Importance(sequence % importanceCount);
+        context.rank = Rank::of(Importance(sequence % importanceCount));
         context.treeHash = mixHash(sequence, thread);
         context.retriesLeft = 3;
         return context;
--- a/bench/FakeFleet.h
+++ b/bench/FakeFleet.h
@@ -46,7 +46,7 @@
         RequestContext context;
         context.attempt.request = { entry.board.self().id(), entry.board.self().boot, ++m_sequence };
         context.account = account;
-        context.importance = importance;
+        context.rank = Rank::of(importance);
         context.idempotent = true;
         context.treeHash = mixHash(m_settings.seed, m_sequence);
         m_events.after(callerDelay, [this, &entry, tree, context] {
--- a/bench/WireBench.cpp
+++ b/bench/WireBench.cpp
@@ -13,8 +13,8 @@
 // A request with the headers of an ordinary caller.
 OpenRequest ordinaryRequest()
 {
-    OpenRequest open { { { { { 1 }, { 2 }, 3 }, 1 }, "inspectors-north", "reports", "ride-records", Importance::Normal,
-                           true, seconds(5), 2, 1, 8 },
+    OpenRequest open { { { { { 1 }, { 2 }, 3 }, 1 }, "inspectors-north", "reports", "ride-records",
+                           Rank::of(Importance::Normal), true, seconds(5), 2, 1, 8 },
         { 22 }, "GET", "/reports/4711", {}, false, seconds(9) };
     for (int i = 0; i < 8; ++i)
         open.headers.push_back({ "x-header-name", "a value of thirty-two characters" });
--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -125,10 +125,10 @@
     {
         if (strategy != AdmissionStrategy::Adaptive || !context.parentKnown || context.depth > 1)
             return false;
-        const double survival = survivalAt(context.importance, level);
+        const double survival = survivalAt(context.rank, level);
         if (survival >= 1)
             return false;
-        if (shedRank(context) < level && random.unit() >= probeFraction)
+        if (sheddingHeight(context) < level && random.unit() >= probeFraction)
             return true;
 
         // What passes stands for what does not, so that the demand is seen where it is too high.
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -22,8 +22,8 @@
     // quarter: a request of the deployments served passes a lagging node some twenty times (five calls in a row, each
     // there and back at two nodes), and has 1.5 s.
     constexpr Duration fullLag = milliseconds(20);
-    // The highest class is left to the limits that its own servers set.
-    constexpr double highestLevelForLag = importanceCount - 1;
+    // The highest rank is left to the limits that its own servers set.
+    constexpr double highestLevelForLag = rankCount - 1;
     // Baseline: drops by delay start when requests have waited this long for that time.
     constexpr Duration delayTarget = milliseconds(5);
     constexpr Duration delayInterval = milliseconds(100);
@@ -86,7 +86,7 @@
 
 bool Gate::isShedByLevel(const RequestContext& context) const
 {
-    return isNewWork(context) && shedRank(context) < m_budget.level(context.account);
+    return isNewWork(context) && sheddingHeight(context) < m_budget.level(context.account);
 }
 
 bool Gate::isNeverShed(const RequestContext&) const { return false; }
@@ -96,16 +96,16 @@
 
 Gate::Place Gate::placeByWorth(const RequestContext& context)
 {
-    const double order = m_budget.order(context.importance, context.account, context.treeHash);
-    return { isNewWork(context), context.importance, order, ++m_sequence };
+    const double order = m_budget.order(context.rank, context.account, context.treeHash);
+    return { isNewWork(context), context.rank, order, ++m_sequence };
 }
 
-Gate::Place Gate::placeByArrival(const RequestContext&) { return { true, Importance::Low, 0, ++m_sequence }; }
+Gate::Place Gate::placeByArrival(const RequestContext&) { return { true, lowestRank, 0, ++m_sequence }; }
 
 // The most important wait for as long as they can still finish: those less important make way for them.
 bool Gate::isDroppedUnlessCritical(const Ticket& ticket, Instant now)
 {
-    const bool makesWay = ticket.place.isNewWork && ticket.place.importance != Importance::Critical;
+    const bool makesWay = ticket.place.isNewWork && ticket.place.rank.account != Importance::Critical;
     return makesWay && isDroppedAtLimit(ticket, now);
 }
 
@@ -140,8 +140,8 @@
     // where it is short further down, also what will probably not be. Otherwise trying costs nobody anything.
     if (m_tickets.contains(context.attempt))
         return refusal(Reason::Duplicate);
-    m_budget.noteOffer(context.importance, context.account, context.represents);
-    m_lagBudget.noteOffer(context.importance, context.account, context.represents);
+    m_budget.noteOffer(context.rank, context.account, context.represents);
+    m_lagBudget.noteOffer(context.rank, context.account, context.represents);
     const bool isFree = m_queue.empty() && m_running < (this->*m_strategy.limit)(now);
     Ticket ticket { context.route, {}, deadline, Duration(0), now };
     if (below == RoomBelow::Short)
@@ -172,9 +172,9 @@
     m_overflowed |= isFull;
     if (isShed || isFull) {
         const bool isWorse = m_queue.empty() || m_queue.rbegin()->first < place;
-        const bool sameClass = !m_queue.empty() && m_queue.rbegin()->first.isNewWork
-            && m_queue.rbegin()->first.importance == place.importance;
-        if (isWorse || (isShed && sameClass))
+        const bool sameRank
+            = !m_queue.empty() && m_queue.rbegin()->first.isNewWork && m_queue.rbegin()->first.rank == place.rank;
+        if (isWorse || (isShed && sameRank))
             return refusal(isShed ? Reason::ShedAtGuard : Reason::QueueFull);
         evictWorst(Reason::ShedAtGuard);
     }
@@ -273,17 +273,17 @@
 // importance with it: they would have waited in vain, and must not outlive it.
 void Gate::refuseLate(Instant now)
 {
-    auto lowestLeft = Importance::Low;
+    auto lowestLeft = lowestRank;
     for (auto waiting = m_queue.begin(); waiting != m_queue.end();) {
         const auto present = waiting++;
         const auto& ticket = m_tickets.at(present->second);
         if (ticket.cannotFinish(now)) {
             refuse(present, Reason::DeadlineExceeded);
-        } else if (present->first.isNewWork && present->first.importance > lowestLeft) {
+        } else if (present->first.isNewWork && present->first.rank > lowestLeft) {
             refuse(present, Reason::ShedAtGuard);
         } else if ((this->*m_strategy.isDropped)(ticket, now)) {
             m_overflowed = true;
-            lowestLeft = present->first.importance;
+            lowestLeft = present->first.rank;
             refuse(present, Reason::QueueTimeout);
         }
     }
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -43,7 +43,7 @@
     struct Place {
         // Calls of requests that already run go before new work, or what has been done for them is lost.
         bool isNewWork { true };
-        Importance importance { Importance::Low };
+        Rank rank;
         double order { 0 };
         uint64_t sequence { 0 };
         auto operator<=>(const Place&) const = default; // NOLINT(modernize-use-nullptr)
--- a/src/admission/ShedBudget.cpp
+++ b/src/admission/ShedBudget.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-    // Memory of class totals and of the served rate: this, or longer where samples are few. That of accounts' shares,
-    // which need more samples.
+    // Memory of the totals of ranks and of the served rate: this, or longer where samples are few. That of accounts'
+    // shares, which need more samples.
     constexpr double fastMemory = 0.2; // seconds
     constexpr double longestMemory = 1.0; // seconds
     constexpr double samplesNeeded = 50;
-    // A class that was not shed so far is left alone until its demand exceeds what is left by this factor.
+    // A rank that was not shed so far is left alone until its demand exceeds what is left by this factor.
     constexpr double borderMargin = 1.2;
     constexpr double slowMemory = 1.0; // seconds
     // Time in which the queue is to be brought to its target: this, or the service time if that is longer.
@@ -47,12 +47,12 @@
 
 void ShedBudget::choose(OverloadPolicy policy) { m_policy = &policies[static_cast<size_t>(policy)]; }
 
-void ShedBudget::noteOffer(Importance importance, std::string_view account, double represents)
+void ShedBudget::noteOffer(Rank rank, std::string_view account, double represents)
 {
     auto found = m_accounts.find(account);
     if (found == m_accounts.end())
         found = m_accounts.emplace(account, Account {}).first;
-    found->second.fresh[static_cast<size_t>(importance)] += represents;
+    found->second.fresh[indexOf(rank)] += represents;
 }
 
 void ShedBudget::update(const Observation& seen)
@@ -69,15 +69,15 @@
 void ShedBudget::smoothDemand(double elapsed)
 {
     const double slow = smoothing(elapsed, slowMemory);
-    ByClass fresh {};
+    ByRank fresh {};
     for (auto& [name, account] : m_accounts) {
-        for (size_t i = 0; i < importanceCount; ++i) {
+        for (size_t i = 0; i < rankCount; ++i) {
             fresh[i] += account.fresh[i];
             account.rate[i] += slow * (account.fresh[i] / elapsed - account.rate[i]);
         }
         account.fresh = {};
     }
-    for (size_t i = 0; i < importanceCount; ++i) {
+    for (size_t i = 0; i < rankCount; ++i) {
         m_demand[i] += smoothing(elapsed, memoryAt(m_demand[i])) * (fresh[i] / elapsed - m_demand[i]);
         m_slowDemand[i] += slow * (fresh[i] / elapsed - m_slowDemand[i]);
     }
@@ -126,12 +126,12 @@
 
 void ShedBudget::placeBorder()
 {
-    const size_t borderBefore = std::exchange(m_border, importanceCount);
+    const size_t borderBefore = std::exchange(m_border, rankCount);
     m_borderSurvival = 1;
     if (!m_shedding)
         return;
     double left = m_budget;
-    for (size_t i = 0; i < importanceCount; ++i) {
+    for (size_t i = 0; i < rankCount; ++i) {
         const double margin = i < borderBefore ? borderMargin : 1;
         if (m_demand[i] > margin * left) {
             m_border = i;
@@ -143,12 +143,12 @@
     }
 }
 
-// The account's share of the class, on the scale of the faster total.
-double ShedBudget::rateOf(const Account& account, size_t importance) const
+// The account's share of the rank, on the scale of the faster total.
+double ShedBudget::rateOf(const Account& account, size_t rank) const
 {
-    if (m_slowDemand[importance] <= 0)
+    if (m_slowDemand[rank] <= 0)
         return 0;
-    return account.rate[importance] * m_demand[importance] / m_slowDemand[importance];
+    return account.rate[rank] * m_demand[rank] / m_slowDemand[rank];
 }
 
 // The rate to which accounts are cut so that the budget is just used: max-min fairness.
@@ -192,24 +192,24 @@
 
 double ShedBudget::level(std::string_view account) const
 {
-    if (m_border == importanceCount)
+    if (m_border == rankCount)
         return 0;
-    const double below = double(importanceCount - 1 - m_border);
+    const double below = double(rankCount - 1 - m_border);
     const auto found = m_accounts.find(account);
     return below + 1 - (found == m_accounts.end() ? 1.0 : (this->*m_policy->survive)(found->second));
 }
 
 double ShedBudget::level() const
 {
-    if (m_border == importanceCount)
+    if (m_border == rankCount)
         return 0;
-    return double(importanceCount - 1 - m_border) + 1 - m_borderSurvival;
+    return double(rankCount - 1 - m_border) + 1 - m_borderSurvival;
 }
 
-double ShedBudget::order(Importance importance, std::string_view account, uint64_t treeHash) const
+double ShedBudget::order(Rank rank, std::string_view account, uint64_t treeHash) const
 {
     const auto found = m_accounts.find(account);
-    const double rate = found == m_accounts.end() ? 0 : rateOf(found->second, static_cast<size_t>(importance));
+    const double rate = found == m_accounts.end() ? 0 : rateOf(found->second, indexOf(rank));
     return (this->*m_policy->order)(rate, unitOfHash(treeHash));
 }
 
--- a/src/admission/ShedBudget.h
+++ b/src/admission/ShedBudget.h
@@ -7,7 +7,7 @@
 
 namespace Vanillaridge {
 
-/// Divides a budget of requests per second among classes, the most important first, and inside the class where it ends
+/// Divides a budget of requests per second among ranks, the most important first, and inside the rank where it ends
 /// among client accounts, as the policy says. Which requests of an account survive follows from their stable hash.
 /// Not safe for several threads; its gate's lock protects it.
 class ShedBudget {
@@ -16,7 +16,7 @@
     void choose(OverloadPolicy);
 
     /// Notes an offered request, shed or not; `represents` is how many it stands for.
-    void noteOffer(Importance, std::string_view account, double represents);
+    void noteOffer(Rank, std::string_view account, double represents);
     /// What the gate saw since the last update.
     struct Observation {
         /// Time since the last update.
@@ -39,15 +39,15 @@
     double level(std::string_view account) const;
     /// Shed level over all accounts.
     double level() const;
-    /// Place of a request in the queue, inside its class: lower ones first.
-    double order(Importance, std::string_view account, uint64_t treeHash) const;
+    /// Place of a request in the queue, inside its rank: lower ones first.
+    double order(Rank, std::string_view account, uint64_t treeHash) const;
 
 private:
-    using ByClass = std::array<double, importanceCount>;
+    using ByRank = std::array<double, rankCount>;
     struct Account {
         // Offered since the last update, and the smoothed rate per second.
-        ByClass fresh {};
-        ByClass rate {};
+        ByRank fresh {};
+        ByRank rate {};
     };
     using Accounts = std::unordered_map<AccountName, Account, NameHash, std::equal_to<>>;
     using Divide = double (ShedBudget::*)(double budget) const;
@@ -65,7 +65,7 @@
     void smoothDemand(double elapsed);
     void smoothCapacity(const Observation&, double elapsed);
     void placeBorder();
-    double rateOf(const Account&, size_t importance) const;
+    double rateOf(const Account&, size_t rank) const;
     double fairWaterLevel(double budget) const;
     double evenShare(double budget) const;
     double fairSurvival(const Account&) const;
@@ -75,14 +75,14 @@
 
     const PolicyRow* m_policy { nullptr };
     Accounts m_accounts;
-    ByClass m_demand {};
-    ByClass m_slowDemand {};
+    ByRank m_demand {};
+    ByRank m_slowDemand {};
     double m_served { 0 };
     double m_budget { 0 };
     bool m_shedding { false };
     uint32_t m_overflowingUpdates { 0 };
-    // The class where the budget ends, and what the policy made of the rest of it.
-    size_t m_border { importanceCount };
+    // The rank where the budget ends, and what the policy made of the rest of it.
+    size_t m_border { rankCount };
     double m_share { 0 };
     double m_borderSurvival { 1 };
     uint32_t m_updates { 0 };
--- a/src/core/Core.cpp
+++ b/src/core/Core.cpp
@@ -211,6 +211,8 @@
 
 std::string_view toText(Importance importance) { return importanceNames[static_cast<size_t>(importance)]; }
 
+std::string toText(Rank rank) { return std::string(toText(rank.account)) + '/' + std::string(toText(rank.route)); }
+
 std::optional<Importance> importanceFromText(std::string_view text)
 {
     const auto found = std::find(importanceNames.begin(), importanceNames.end(), text);
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -167,6 +167,26 @@
 std::string_view toText(Importance);
 std::optional<Importance> importanceFromText(std::string_view);
 
+/// Where a request stands when room is short, the most important first: by the importance that its account declares,
+/// and among those of like accounts by that of its route. Without one of the account's own, the route's counts for
+/// both.
+struct Rank {
+    Importance account { Importance::Normal };
+    Importance route { Importance::Normal };
+    auto operator<=>(const Rank&) const = default; // NOLINT(modernize-use-nullptr)
+    /// The rank of one whose account and route are alike, or whose account has no importance of its own.
+    static constexpr Rank of(Importance importance) { return { importance, importance }; }
+};
+constexpr size_t rankCount = importanceCount * importanceCount;
+constexpr Rank lowestRank = Rank::of(Importance::Low);
+/// From 0, the most important, to rankCount - 1.
+constexpr size_t indexOf(Rank rank)
+{
+    return static_cast<size_t>(rank.account) * importanceCount + static_cast<size_t>(rank.route);
+}
+/// Both importances, as in "high/critical".
+std::string toText(Rank);
+
 /// What the system can truthfully say about a request that it answers itself.
 enum class Outcome : uint8_t { Served, NotRun, Unknown };
 std::string_view toText(Outcome);
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -7,10 +7,10 @@
 namespace {
 
     // Lag of the node from which on new requests are refused here, for the most important ones, and how much earlier
-    // that begins with each class below; over how much lag a class goes from none to all. The shortest target latency
+    // that begins for the least important; over how much lag a rank goes from none to all. The shortest target latency
     // of the deployments served is 100 ms, and callers may leave within 0.5 s without work going on for them.
     constexpr Duration refusedLag = milliseconds(300);
-    constexpr Duration lagPerClass = milliseconds(50);
+    constexpr Duration lagOfRanks = milliseconds(200);
     constexpr Duration lagSpan = milliseconds(150);
 
     // Share of the longest time that callers of a route give below which a request is taken for one that was refused
@@ -25,7 +25,8 @@
     // Whether a new request is refused because this node lags behind: the least important first.
     bool isShedForLag(const RequestContext& context, Duration lag)
     {
-        const auto begins = refusedLag - static_cast<int>(context.importance) * lagPerClass;
+        const auto begins
+            = refusedLag - lagOfRanks * static_cast<int>(indexOf(context.rank)) / static_cast<int>(rankCount);
         const auto share = double((lag - begins).count()) / double(lagSpan.count());
         return unitOfHash(mixHash(context.treeHash, 1)) < share;
     }
@@ -35,7 +36,7 @@
 
     // What a call takes over from the request that it is likely to belong to.
     struct LikelyParent {
-        Importance importance;
+        Rank rank;
         double represents;
         uint32_t depth;
         RouteName route;
@@ -84,7 +85,7 @@
             board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
                 const auto& context = record.context;
                 if (record.state == AttemptState::Started)
-                    parents.push_back({ context.importance, context.represents, context.depth, context.route });
+                    parents.push_back({ context.rank, context.represents, context.depth, context.route });
             });
         }
         if (parents.empty())
@@ -111,7 +112,7 @@
         if (!parent)
             return;
         auto& context = decision.context;
-        context.importance = parent->importance;
+        context.rank = parent->rank;
         context.represents = parent->represents;
         context.depth = parent->depth + 1;
         context.parentKnown = false;
@@ -180,10 +181,11 @@
         return configuration.mayUse(route, account->name) ? Reason::None : Reason::RouteForbidden;
     }
 
-    // The account's importance goes before the route's.
-    Importance importanceOf(const Route& route, const ClientAccount* account)
+    // The account's importance goes before the route's; a caller can only lower them.
+    Rank rankOf(const Route& route, const ClientAccount* account, std::optional<Importance> wanted)
     {
-        return account ? account->importance.value_or(route.importance) : route.importance;
+        const auto own = account ? account->importance.value_or(route.importance) : route.importance;
+        return { std::max(own, wanted.value_or(own)), std::max(route.importance, wanted.value_or(route.importance)) };
     }
 
 } // namespace
@@ -226,8 +228,7 @@
     context.attempt.request = self.nextId();
     context.route = route->name;
     context.service = self.serviceOf(*route);
-    const auto declared = importanceOf(*route, account);
-    context.importance = std::max(declared, request.importance.value_or(declared));
+    context.rank = rankOf(*route, account, request.importance);
     context.idempotent = route->idempotent;
     context.retriesLeft = std::min(route->retries, configuration->policy().retriesPerRequest);
     context.depth = 1;
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -20,7 +20,7 @@
     std::optional<std::string_view> key;
     /// Time that the caller gives it.
     std::optional<Duration> remaining;
-    /// How important the caller holds it; it can lower the route's importance, not raise it.
+    /// How important the caller holds it; it can lower the request's rank, not raise it.
     std::optional<Importance> importance;
     /// Length of its body in bytes, when known.
     std::optional<uint64_t> bodyBytes;
@@ -54,7 +54,7 @@
     ~Entry();
 
     /// Decides about a caller's request. What follows counts against its account. One that has come back after a
-    /// refusal is shed after the others of its importance. Where accounts are declared, a request to an open route that
+    /// refusal is shed after the others of its rank. Where accounts are declared, a request to an open route that
     /// enters beside a backend server with work is taken for a call of that server: it names no parent, so it gets the
     /// worth of one of the running requests, drawn evenly. So the loads that services further down tell of are divided
     /// among importances as the calls really are.
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -13,16 +13,16 @@
 
 } // namespace
 
-double shedRank(const RequestContext& context)
+double sheddingHeight(const RequestContext& context)
 {
-    const auto classesBelow = double(importanceCount - 1 - static_cast<size_t>(context.importance));
-    return classesBelow + 1 - unitOfHash(context.treeHash);
+    const auto ranksBelow = double(rankCount - 1 - indexOf(context.rank));
+    return ranksBelow + 1 - unitOfHash(context.treeHash);
 }
 
-double survivalAt(Importance importance, double shedLevel)
+double survivalAt(Rank rank, double shedLevel)
 {
-    const auto classesBelow = double(importanceCount - 1 - static_cast<size_t>(importance));
-    return std::clamp(classesBelow + 1 - shedLevel, 0.0, 1.0);
+    const auto ranksBelow = double(rankCount - 1 - indexOf(rank));
+    return std::clamp(ranksBelow + 1 - shedLevel, 0.0, 1.0);
 }
 
 bool isDatagram(const ControlMessage& message)
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -25,8 +25,8 @@
     uint32_t waiting { 0 };
     /// Requests it lets run at once at present.
     uint32_t limit { 0 };
-    /// What is shed of the requests of the account that this is sent to, from 0 (nothing) to importanceCount
-    /// (everything): classes in whole steps, the rest by request hash.
+    /// What is shed of the requests of the account that this is sent to, from 0 (nothing) to rankCount (everything):
+    /// ranks in whole steps, the rest by request hash.
     double shedLevel { 0 };
     /// Smoothed time that a request spends at the backend server.
     Duration serviceTime { 0 };
@@ -42,7 +42,7 @@
     AccountName account;
     RouteName route;
     ServiceName service;
-    Importance importance { Importance::Normal };
+    Rank rank {};
     bool idempotent { false };
     /// Time left when the message was sent.
     Duration remaining { 0 };
@@ -54,17 +54,17 @@
     uint64_t treeHash { 0 };
     /// Requests that this one stands for: itself, and those like it that were shed on the way here.
     double represents { 1 };
-    /// Whether the request that made this call is known, if it is one. Where it is not, importance and what it
-    /// represents are those of a likely one.
+    /// Whether the request that made this call is known, if it is one. Where it is not, rank and what it represents are
+    /// those of a likely one.
     bool parentKnown { true };
 };
 
-/// Where a request stands among those that may be shed, from 0 (shed first) to importanceCount: it is shed while its
-/// rank is below the shed level. Classes go by whole steps; inside a class the stable hash decides, so that the same
-/// whole requests survive on every node.
-double shedRank(const RequestContext&);
-/// The share of an account's requests of this importance that survive at a shed level.
-double survivalAt(Importance, double shedLevel);
+/// Where a request stands among those that may be shed, from 0 (shed first) to rankCount: it is shed while it stands
+/// below the shed level. Ranks go by whole steps; inside a rank the stable hash decides, so that the same whole
+/// requests survive on every node.
+double sheddingHeight(const RequestContext&);
+/// The share of an account's requests of this rank that survive at a shed level.
+double survivalAt(Rank, double shedLevel);
 
 /// Opens a stream: a request for the backend server beside the receiver.
 struct OpenRequest {
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -472,7 +472,7 @@
         return;
     logRequest(kind, "request",
         { { "id", label }, { "request", ownText() }, { "route", context.route }, { "account", context.account },
-            { "service", context.service }, { "importance", toText(context.importance) }, { "depth", context.depth },
+            { "service", context.service }, { "rank", toText(context.rank) }, { "depth", context.depth },
             { "reason", toText(m_end) }, { "outcome", toText(row(m_end).outcome) }, { "status", m_answerStatus },
             { "configuration", m_decision.configuration ? m_decision.configuration->number() : 0 },
             { "allowed-ms", inMilliseconds(context.remaining) },
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -91,7 +91,7 @@
     const auto load = m_parts.control.admission.feedback(context().service);
     logRequest(kind, "attempt",
         { { "id", label }, { "attempt", toText(id()) }, { "entry", m_stream->peer().endpoint },
-            { "server", m_instance }, { "service", context().service }, { "importance", toText(context().importance) },
+            { "server", m_instance }, { "service", context().service }, { "rank", toText(context().rank) },
             { "reason", toText(m_end) }, { "started", hasStarted }, { "status", m_status },
             { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) }, { "waited-ms", inMilliseconds(waited) },
             { "server-ms", inMilliseconds(served) }, { "expected-ms", inMilliseconds(m_admission.expected) },
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -255,14 +255,14 @@
     if (!context.parentKnown)
         return false;
     const double level = presentLevel(record);
-    const double survival = survivalAt(context.importance, level);
+    const double survival = survivalAt(context.rank, level);
     if (survival >= 1)
         return false;
 
     // 2. A few others pass as probes: in proportion to what passes, so that repeated requests do not make more.
     const double ratio = record.passed / std::max(1.0, record.shed);
     const double probe = context.depth == 1 ? probeFraction * std::min(1.0, ratio) : 0;
-    const bool isShed = shedRank(context) < level && random.unit() >= probe;
+    const bool isShed = sheddingHeight(context) < level && random.unit() >= probe;
     (isShed ? record.shed : record.passed) += 1;
     if (record.passed + record.shed > requestsRemembered) {
         record.passed /= 2;
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -45,13 +45,19 @@
     archive(service, running, waiting, limit, shedLevel, serviceTime, queueTime, draining);
 }
 
+template <typename Archive> void serialize(Archive& archive, Rank& rank)
+{
+    auto& [account, route] = rank;
+    archive(ranged(account), ranged(route));
+}
+
 template <typename Archive> void serialize(Archive& archive, RequestContext& context)
 {
-    auto& [attempt, account, route, service, importance, idempotent, remaining, retriesLeft, depth, treeHash,
-        represents, parentKnown]
+    auto& [attempt, account, route, service, rank, idempotent, remaining, retriesLeft, depth, treeHash, represents,
+        parentKnown]
         = context;
-    archive(attempt, account, route, service, ranged(importance), idempotent, remaining, retriesLeft, depth, treeHash,
-        represents, parentKnown);
+    archive(attempt, account, route, service, rank, idempotent, remaining, retriesLeft, depth, treeHash, represents,
+        parentKnown);
 }
 
 template <typename Archive> void serialize(Archive& archive, OpenRequest& message)
--- a/tests/WireGenerators.h
+++ b/tests/WireGenerators.h
@@ -43,6 +43,9 @@
     template <> struct Drawn<Importance> {
         static Importance draw() { return static_cast<Importance>(*rc::gen::inRange<size_t>(0, importanceCount)); }
     };
+    template <> struct Drawn<Rank> {
+        static Rank draw() { return { Drawn<Importance>::draw(), Drawn<Importance>::draw() }; }
+    };
     template <> struct Drawn<Reason> {
         static Reason draw() { return static_cast<Reason>(*rc::gen::inRange<size_t>(0, reasonCount)); }
     };
