Trace calls without a parent by their deadline

Callers saw uploads shed for a service that they never call, and calls carried the rank of whatever ran beside the request that made them.

A backend server's call lasts for as long as the request that made it, so its deadline names its parent, but for rounding, travel and lag. It takes rank, tree and depth from there. Where no running request has its deadline it is counted and logged as untraced, gets the worth of one drawn evenly as before, and teaches nobody which routes call which.

--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -12,6 +12,8 @@
     RequestsServed,
     RequestsRefused,
     RequestsCancelled,
+    CallsTraced,
+    CallsUntraced,
     // Retries.
     RetriesSpent,
     RetriesWithoutBudget,
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -31,14 +31,22 @@
         return unitOfHash(mixHash(context.treeHash, 1)) < share;
     }
 
-    // How often the running attempts are read for the parents that calls may have.
+    // How often the running attempts are read for the parents that calls may have, and how soon again for a call whose
+    // parent may have started since.
     constexpr Duration parentsPeriod = milliseconds(10);
-
-    // What a call takes over from the request that it is likely to belong to.
-    struct LikelyParent {
+    constexpr Duration parentsPeriodForMissing = milliseconds(1);
+    // A backend server is told its time in whole milliseconds, and tells its calls' time in the same.
+    constexpr Duration deadlineRounding = milliseconds(2);
+    // Time that a request and its call spend between node and backend server, without lag.
+    constexpr Duration deadlineTravel = milliseconds(1);
+
+    // What a call takes over from the request that it belongs to.
+    struct Parent {
+        Instant deadline;
         Rank rank;
         double represents;
         uint32_t depth;
+        uint64_t treeHash;
         RouteName route;
     };
 
@@ -73,24 +81,41 @@
         return { self.id(), self.boot, mixHash(sequenceSecret, sequence.fetch_add(1, std::memory_order_relaxed)) };
     }
 
-    // One of the attempts that run beside this node, each as likely as the others; nothing when there is none. They are
-    // read now and then: a node may pass on thousands of calls a second beside hundreds of attempts.
-    std::optional<LikelyParent> likelyParent()
+    // Reads the attempts that run beside this node, in the order of their deadlines. That is done now and then: a node
+    // may pass on thousands of calls a second beside hundreds of attempts.
+    void readParents(Duration period)
     {
-        std::lock_guard guard(parentsLock);
         const auto now = clock.now();
-        if (parents.empty() || now - parentsReadAt >= parentsPeriod) {
-            parentsReadAt = now;
-            parents.clear();
-            board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
-                const auto& context = record.context;
-                if (record.state == AttemptState::Started)
-                    parents.push_back({ context.rank, context.represents, context.depth, context.route });
-            });
-        }
-        if (parents.empty())
-            return std::nullopt;
-        return parents[random.below(parents.size())];
+        if (!parents.empty() && now - parentsReadAt < period)
+            return;
+        parentsReadAt = now;
+        parents.clear();
+        board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
+            const auto& context = record.context;
+            if (record.state == AttemptState::Started)
+                parents.push_back({ record.deadline, context.rank, context.represents, context.depth, context.treeHash,
+                    context.route });
+        });
+        std::ranges::sort(parents, {}, &Parent::deadline);
+    }
+
+    // The attempt whose deadline is that of the call: a backend server's call lasts for as long as the request that
+    // made it. What the call spent on its way, and unread, makes its deadline look later.
+    const Parent* parentOf(const IncomingRequest& call) const
+    {
+        if (!call.remaining)
+            return nullptr;
+        const auto callDeadline = clock.now() + *call.remaining;
+        const auto earliest = callDeadline - call.unread - deadlineTravel;
+        const auto latest = callDeadline + deadlineRounding;
+        const auto after = std::ranges::upper_bound(parents, latest, {}, &Parent::deadline);
+        if (after == parents.begin() || std::prev(after)->deadline < earliest)
+            return nullptr;
+        // Those that are nearest in time: the latest one that is not after the call's deadline, or the next one.
+        const auto above = std::ranges::upper_bound(parents, callDeadline, {}, &Parent::deadline);
+        if (above == parents.begin() || std::prev(above)->deadline < earliest)
+            return &*above;
+        return &*std::prev(above);
     }
 
     // Whether the request has come back after a refusal, as the time that its caller still gives it shows.
@@ -105,18 +130,31 @@
         });
     }
 
-    // Gives a call that names no parent the worth of a likely one.
-    void adoptLikelyParent(EntryDecision& decision)
+    // Gives a call that names no parent what it has of the request that it belongs to. Where none has its deadline, it
+    // gets the worth of one that runs here, each as likely as the others, and is known to belong to none.
+    void adoptParent(EntryDecision& decision, const IncomingRequest& request)
     {
-        const auto parent = likelyParent();
+        std::lock_guard guard(parentsLock);
+        readParents(parentsPeriod);
+        const auto* parent = parentOf(request);
+        if (!parent) {
+            readParents(parentsPeriodForMissing);
+            parent = parentOf(request);
+        }
+        auto& context = decision.context;
+        context.parentKnown = parent || parents.empty();
+        if (!parent && !parents.empty())
+            parent = &parents[random.below(parents.size())];
         if (!parent)
             return;
-        auto& context = decision.context;
+        board.counters().add(context.parentKnown ? Counter::CallsTraced : Counter::CallsUntraced);
         context.rank = parent->rank;
         context.represents = parent->represents;
         context.depth = parent->depth + 1;
-        context.parentKnown = false;
-        decision.likelyParentRoute = parent->route;
+        if (!context.parentKnown)
+            return;
+        context.treeHash = parent->treeHash;
+        decision.parentRoute = parent->route;
     }
 
     // The service for the next request of the route. Steps of the golden ratio visit the weights evenly from the first
@@ -149,7 +187,7 @@
     Retry& retry;
     std::mutex parentsLock;
     Instant parentsReadAt;
-    std::vector<LikelyParent> parents;
+    std::vector<Parent> parents;
     /// Longest time that callers of a route have given of late, in nanoseconds.
     Sharded<RouteName, double> longest;
     /// Where each route with several services stands in its turns, from 0 to 1.
@@ -236,10 +274,10 @@
     if (self.isReturning(*route, request.remaining))
         context.treeHash &= ~quarterBits;
     if (route->open && !configuration->declarations().accounts.empty())
-        self.adoptLikelyParent(decision);
+        self.adoptParent(decision, request);
     if (self.board.refusesNewWork() && !(route->open && self.board.attempts().size()))
         decision.reason = Reason::Draining;
-    else if (context.parentKnown && isShedForLag(context, request.unread))
+    else if (context.depth == 1 && isShedForLag(context, request.unread))
         decision.reason = Reason::NodeBusy;
     decision.configuration = configuration;
     decision.route = route;
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -157,7 +157,7 @@
         m_parts.board.attempts().visit(
             *m_parent, [&](const AttemptRecord& record) { m_parentRoute = record.context.route; });
     } else {
-        m_parentRoute = m_decision.likelyParentRoute;
+        m_parentRoute = m_decision.parentRoute;
     }
     m_parts.control.entryLedger.open(m_decision.context, m_decision.deadline, parent, true);
     m_parts.control.retry.noteFirstTry(service());
@@ -473,7 +473,8 @@
     logRequest(kind, "request",
         { { "id", label }, { "request", ownText() }, { "route", context.route }, { "account", context.account },
             { "service", context.service }, { "rank", toText(context.rank) }, { "depth", context.depth },
-            { "reason", toText(m_end) }, { "outcome", toText(row(m_end).outcome) }, { "status", m_answerStatus },
+            { "traced", context.parentKnown }, { "reason", toText(m_end) }, { "outcome", toText(row(m_end).outcome) },
+            { "status", m_answerStatus },
             { "configuration", m_decision.configuration ? m_decision.configuration->number() : 0 },
             { "allowed-ms", inMilliseconds(context.remaining) },
             { "took-ms", inMilliseconds(m_parts.clock.now() - m_receivedAt) }, { "attempts", trailText() },
