Let new work at a deep service wait by its rank, not behind all calls

Cause: calls went before all new work, so that new work was what remained once calls alone filled the slots.

The queue now goes by rank, and inside a rank calls go before new work. A level that rises sheds new work first, and calls of running requests only a quarter of a rank later. Calls that could not be traced go first, as before.

--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -86,26 +86,26 @@
 
 bool Gate::isShedByLevel(const RequestContext& context) const
 {
-    return isNewWork(context) && sheddingHeight(context) < m_budget.level(context.account);
+    return context.parentKnown && sheddingHeight(context) < m_budget.level(context.account);
 }
 
 bool Gate::isNeverShed(const RequestContext&) const { return false; }
 
 // A call whose request is not known here cannot be shed together with it: load is told to where requests enter instead.
-bool Gate::isNewWork(const RequestContext& context) { return context.parentKnown; }
+bool Gate::isNewWork(const RequestContext& context) { return context.parentKnown && context.depth == 1; }
 
 Gate::Place Gate::placeByWorth(const RequestContext& context)
 {
     const double order = m_budget.order(context.rank, context.account, context.treeHash);
-    return { isNewWork(context), context.rank, order, ++m_sequence };
+    return { context.parentKnown, context.rank, isNewWork(context), order, ++m_sequence };
 }
 
-Gate::Place Gate::placeByArrival(const RequestContext&) { return { true, lowestRank, 0, ++m_sequence }; }
+Gate::Place Gate::placeByArrival(const RequestContext&) { return { true, lowestRank, true, 0, ++m_sequence }; }
 
 // The most important wait for as long as they can still finish: those less important make way for them.
 bool Gate::isDroppedUnlessCritical(const Ticket& ticket, Instant now)
 {
-    const bool makesWay = ticket.place.isNewWork && ticket.place.rank.account != Importance::Critical;
+    const bool makesWay = ticket.place.isWeighed && ticket.place.rank.account != Importance::Critical;
     return makesWay && isDroppedAtLimit(ticket, now);
 }
 
@@ -173,7 +173,7 @@
     if (isShed || isFull) {
         const bool isWorse = m_queue.empty() || m_queue.rbegin()->first < place;
         const bool sameRank
-            = !m_queue.empty() && m_queue.rbegin()->first.isNewWork && m_queue.rbegin()->first.rank == place.rank;
+            = !m_queue.empty() && m_queue.rbegin()->first.isWeighed && m_queue.rbegin()->first.rank == place.rank;
         if (isWorse || (isShed && sameRank))
             return refusal(isShed ? Reason::ShedAtGuard : Reason::QueueFull);
         evictWorst(Reason::ShedAtGuard);
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -41,9 +41,11 @@
 private:
     // Place in the queue: best first.
     struct Place {
-        // Calls of requests that already run go before new work, or what has been done for them is lost.
-        bool isNewWork { true };
+        // Calls of requests that are not known cannot be weighed against others, and go before them.
+        bool isWeighed { true };
         Rank rank;
+        // Calls of requests that already run go before new work of their rank, or what has been done for them is lost.
+        bool isNewWork { true };
         double order { 0 };
         uint64_t sequence { 0 };
         auto operator<=>(const Place&) const = default; // NOLINT(modernize-use-nullptr)
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -13,10 +13,17 @@
 
 } // namespace
 
+namespace {
+
+    // Part of a rank by which calls stand above new requests of their rank.
+    constexpr double headStartOfCalls = 0.25;
+
+} // namespace
+
 double sheddingHeight(const RequestContext& context)
 {
     const auto ranksBelow = double(rankCount - 1 - indexOf(context.rank));
-    return ranksBelow + 1 - unitOfHash(context.treeHash);
+    return ranksBelow + 1 - unitOfHash(context.treeHash) + (context.depth > 1 ? headStartOfCalls : 0);
 }
 
 double survivalAt(Rank rank, double shedLevel)
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -61,7 +61,8 @@
 
 /// Where a request stands among those that may be shed, from 0 (shed first) to rankCount: it is shed while it stands
 /// below the shed level. Ranks go by whole steps; inside a rank the stable hash decides, so that the same whole
-/// requests survive on every node.
+/// requests survive on every node. Calls of requests that run stand a little higher, since what has been done for them
+/// is lost with them: a level that rises refuses new requests first.
 double sheddingHeight(const RequestContext&);
 /// The share of an account's requests of this rank that survive at a shed level.
 double survivalAt(Rank, double shedLevel);
--- /dev/null
+++ b/tests/DeepServiceTests.cpp
@@ -0,0 +1,131 @@
+// libraries: admission
+#include "AdmissionGuard.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace Vanillaridge;
+
+namespace {
+
+constexpr Rank highestRank = Rank::of(Importance::Critical);
+constexpr Rank middleRank { Importance::High, Importance::High };
+constexpr Rank lowRank { Importance::High, Importance::Normal };
+constexpr Duration work = milliseconds(50);
+constexpr Duration patienceOfCallers = milliseconds(700);
+
+// Work that comes to a deep service at an even pace: requests of callers, or calls of requests that run elsewhere.
+struct Flow {
+    Rank rank;
+    uint32_t depth { 1 };
+    double rate { 0 }; // per second
+    bool parentKnown { true };
+    double due { 0 };
+    int sent { 0 };
+    int served { 0 };
+    double share() const { return sent ? double(served) / sent : 1; }
+};
+
+// A backend server at the end of a chain, which serves 2,000 requests a second. What is told upstream is not followed
+// there: only what the guard itself decides is looked at.
+struct DeepServer : Guard {
+    DeepServer()
+        : Guard(100)
+    {
+    }
+
+    void play(std::span<Flow> flows, Duration span)
+    {
+        for (const auto end = clock.now() + span; clock.now() < end; clock.advance(milliseconds(1))) {
+            finishWork(flows);
+            for (size_t i = 0; i < flows.size(); ++i) {
+                for (flows[i].due += flows[i].rate / 1000; flows[i].due >= 1; flows[i].due -= 1)
+                    send(flows[i], i);
+            }
+            for (const auto& change : admission.settle()) {
+                if (change.decision.verdict == AdmissionVerdict::Admitted)
+                    m_ends.emplace(clock.now() + work, change.attempt);
+            }
+        }
+    }
+
+private:
+    void send(Flow& flow, size_t index)
+    {
+        auto context = request(Importance::Normal);
+        context.rank = flow.rank;
+        context.depth = flow.depth;
+        context.parentKnown = flow.parentKnown;
+        context.account = flow.depth > 1 ? "" : "owner";
+        ++flow.sent;
+        m_flowOf[context.attempt] = index;
+        const auto verdict = admission.offer(context, clock.now() + patienceOfCallers).verdict;
+        if (verdict == AdmissionVerdict::Admitted)
+            m_ends.emplace(clock.now() + work, context.attempt);
+    }
+
+    void finishWork(std::span<Flow> flows)
+    {
+        while (!m_ends.empty() && m_ends.begin()->first <= clock.now()) {
+            const auto attempt = m_ends.begin()->second;
+            m_ends.erase(m_ends.begin());
+            admission.finished("history", attempt, AdmittedEnd::Served);
+            ++flows[m_flowOf.at(attempt)].served;
+        }
+    }
+
+    std::multimap<Instant, AttemptId> m_ends;
+    std::map<AttemptId, size_t> m_flowOf;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GivenADeepServiceThatIsAskedForMoreThanItCanServe, DeepServer)
+
+BOOST_AUTO_TEST_SUITE(WhenMostOfItIsCallsOfLessImportantRequests)
+
+BOOST_AUTO_TEST_CASE(ThenItsOwnNewRequestsAreNotWhatIsLeftOver)
+{
+    std::vector<Flow> flows { { middleRank, 1, 200 }, { lowRank, 3, 2400 } };
+    play(flows, seconds(5));
+    BOOST_TEST(flows[0].share() >= 0.97);
+    BOOST_TEST(flows[0].served + flows[1].served >= 0.95 * 2000 * 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenMostOfItIsCallsOfMoreImportantRequests)
+
+BOOST_AUTO_TEST_CASE(ThenTheyGoFirst)
+{
+    std::vector<Flow> flows { { lowRank, 1, 400 }, { middleRank, 3, 1900 } };
+    play(flows, seconds(5));
+    BOOST_TEST(flows[1].share() >= 0.97);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenNewRequestsAndCallsAreOfOneRank)
+
+BOOST_AUTO_TEST_CASE(ThenWhatHasBeenDoneForTheCallsIsNotLost)
+{
+    std::vector<Flow> flows { { middleRank, 1, 1200 }, { middleRank, 3, 1500 } };
+    play(flows, seconds(5));
+    BOOST_TEST(flows[1].share() >= flows[0].share() + 0.2);
+    BOOST_TEST(flows[0].served + flows[1].served >= 0.95 * 2000 * 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheMostImportantAloneAreMoreThanFits)
+
+BOOST_AUTO_TEST_CASE(ThenAsManyAreServedAsFit)
+{
+    std::vector<Flow> flows { { highestRank, 1, 3000 } };
+    play(flows, seconds(5));
+    BOOST_TEST(flows[0].served >= 0.95 * 2000 * 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
