Shed the highest rank for lag as well, once it alone is more than fits

A node that gets 1.5 times what it can pass on, all of it of the highest rank, fell behind by 4 s in the mean: callers of the most important requests waited for nothing. It was left out of the budget for lag. Now it is shed last, and only by what is too much.

--- a/src/admission/Admission.h
+++ b/src/admission/Admission.h
@@ -77,8 +77,8 @@
     /// The load of one backend server, all accounts taken together.
     LoadFeedback feedback(std::string_view service) const;
     /// The load as it concerns requests like this one: its shedLevel is that of the request's account, and takes in
-    /// what is shed by services that requests of this route go on to call, and the lag of this node, which the most
-    /// important requests are not shed for. To be sent with each answer.
+    /// what is shed by services that requests of this route go on to call, and the lag of this node. To be sent with
+    /// each answer.
     LoadFeedback feedback(const RequestContext&) const;
 
 private:
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -22,8 +22,6 @@
     // quarter: a request of the deployments served passes a lagging node some twenty times (five calls in a row, each
     // there and back at two nodes), and has 1.5 s.
     constexpr Duration fullLag = milliseconds(20);
-    // The highest rank is left to the limits that its own servers set.
-    constexpr double highestLevelForLag = rankCount - 1;
     // Baseline: drops by delay start when requests have waited this long for that time.
     constexpr Duration delayTarget = milliseconds(5);
     constexpr Duration delayInterval = milliseconds(100);
@@ -360,7 +358,7 @@
     load.limit = (this->*m_strategy.limit)(m_clock.now());
     const double levelForLag = account ? m_lagBudget.level(*account) : m_lagBudget.level();
     load.shedLevel = account ? m_budget.level(*account) : m_budget.level();
-    load.shedLevel = std::max(load.shedLevel, std::min(levelForLag, highestLevelForLag));
+    load.shedLevel = std::max(load.shedLevel, levelForLag);
     load.serviceTime = expectedService();
     load.queueTime = fromSeconds(m_queueTime);
     return load;
