Believe a call's deadline only where it matches more often than by chance

Cause: calls to the deepest service come with 600 to 700 ms of their own, not with their parent's time (seen in the first second, with the time that calls came with in the log), and where 270 requests run, some deadline is always near. So calls were put down to the wrong request with confidence, and shed for its rank.

A match now counts only as far as calls of the route match more often than chance explains, from the density of deadlines around. The same excess tells which routes make calls that match nobody; those calls go by the rank of a likely parent, in the order in which they come, and are not shed. Calls are no longer refused for the time that their route usually takes either: what runs is tried as long as it can finish.

--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -94,16 +94,16 @@
 
 Gate::Place Gate::placeByWorth(const RequestContext& context)
 {
-    const double order = m_budget.order(context.rank, context.account, context.treeHash);
-    return { context.parentKnown, context.rank, isNewWork(context), order, ++m_sequence };
+    const double order = context.parentKnown ? m_budget.order(context.rank, context.account, context.treeHash) : 0;
+    return { context.rank, isNewWork(context), order, ++m_sequence };
 }
 
-Gate::Place Gate::placeByArrival(const RequestContext&) { return { true, lowestRank, true, 0, ++m_sequence }; }
+Gate::Place Gate::placeByArrival(const RequestContext&) { return { lowestRank, true, 0, ++m_sequence }; }
 
 // The most important wait for as long as they can still finish: those less important make way for them.
 bool Gate::isDroppedUnlessCritical(const Ticket& ticket, Instant now)
 {
-    const bool makesWay = ticket.place.isWeighed && ticket.place.rank.account != Importance::Critical;
+    const bool makesWay = ticket.parentKnown && ticket.place.rank.account != Importance::Critical;
     return makesWay && isDroppedAtLimit(ticket, now);
 }
 
@@ -135,14 +135,14 @@
     const auto now = m_clock.now();
 
     // 1. Once only, and only if there is time for it. Where room is short here, what cannot be finished makes way;
-    // where it is short further down, also what will probably not be. Otherwise trying costs nobody anything.
+    // where it is short further down, also new work that will probably not be. Otherwise trying costs nobody anything.
     if (m_tickets.contains(context.attempt))
         return refusal(Reason::Duplicate);
     m_budget.noteOffer(context.rank, context.account, context.represents);
     m_lagBudget.noteOffer(context.rank, context.account, context.represents);
     const bool isFree = m_queue.empty() && m_running < (this->*m_strategy.limit)(now);
     Ticket ticket { context.route, {}, deadline, Duration(0), now };
-    if (below == RoomBelow::Short)
+    if (below == RoomBelow::Short && context.depth == 1)
         ticket.expected = m_serviceTimes.usual(context.route, now);
     else if (!isFree)
         ticket.expected = m_serviceTimes.least(context.route, now);
@@ -170,8 +170,7 @@
     m_overflowed |= isFull;
     if (isShed || isFull) {
         const bool isWorse = m_queue.empty() || m_queue.rbegin()->first < place;
-        const bool sameRank
-            = !m_queue.empty() && m_queue.rbegin()->first.isWeighed && m_queue.rbegin()->first.rank == place.rank;
+        const bool sameRank = !m_queue.empty() && m_queue.rbegin()->first.rank == place.rank;
         if (isWorse || (isShed && sameRank))
             return refusal(isShed ? Reason::ShedAtGuard : Reason::QueueFull);
         evictWorst(Reason::ShedAtGuard);
@@ -179,6 +178,7 @@
 
     // 2. It waits.
     ticket.place = place;
+    ticket.parentKnown = context.parentKnown;
     ticket.waiting = true;
     m_tickets.emplace(context.attempt, std::move(ticket));
     m_queue.emplace(place, context.attempt);
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -41,8 +41,6 @@
 private:
     // Place in the queue: best first.
     struct Place {
-        // Calls of requests that are not known cannot be weighed against others, and go before them.
-        bool isWeighed { true };
         Rank rank;
         // Calls of requests that already run go before new work of their rank, or what has been done for them is lost.
         bool isNewWork { true };
@@ -58,6 +56,7 @@
         Duration expected { 0 };
         Instant since;
         bool waiting { false };
+        bool parentKnown { true };
         bool cannotFinish(Instant now) const { return now + expected >= deadline; }
     };
     using Queue = std::map<Place, AttemptId>;
--- /dev/null
+++ b/src/entry/CallTracer.cpp
@@ -0,0 +1,168 @@
+#include "entry/CallTracer.h"
+
+#include <algorithm>
+
+namespace Vanillaridge {
+
+namespace {
+
+    // How often the running attempts are read, and how soon again for a call whose parent may have started since: a
+    // node may pass on thousands of calls a second beside hundreds of attempts.
+    constexpr Duration readPeriod = milliseconds(10);
+    constexpr Duration readPeriodForMissing = milliseconds(1);
+    // A backend server is told its time in whole milliseconds, and tells its calls' time in the same.
+    constexpr Duration deadlineRounding = milliseconds(2);
+    // Time that a request and its call spend between node and backend server, without lag.
+    constexpr Duration deadlineTravel = milliseconds(1);
+    // How far around a deadline others are counted, to tell how many match by chance.
+    constexpr Duration neighbourhood = milliseconds(50);
+    // Share of the matches of a route that have to be true for one to be believed.
+    constexpr double believedShare = 0.8;
+    // Counts are halved at this many calls.
+    constexpr double callsRemembered = 512;
+
+    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+CallTracer::CallTracer(Board& board, const Clock& clock, RandomSource& random)
+    : m_board(board)
+    , m_clock(clock)
+    , m_random(random)
+{
+}
+
+std::optional<TracedCall> CallTracer::trace(std::string_view called, std::optional<Duration> remaining, Duration unread)
+{
+    std::lock_guard guard(m_lock);
+    auto found = m_evidence.find(called);
+    if (found == m_evidence.end())
+        found = m_evidence.emplace(called, Evidence {}).first;
+    auto& evidence = found->second;
+    readRunning(readPeriod);
+
+    // 1. By its deadline.
+    std::optional<Instant> callDeadline;
+    if (remaining && !m_running.empty()) {
+        callDeadline = m_clock.now() + *remaining;
+        auto matches = matchesOf(*callDeadline, unread);
+        if (matches.parents.empty()) {
+            readRunning(readPeriodForMissing);
+            matches = matchesOf(*callDeadline, unread);
+        }
+        learn(evidence, matches);
+        if (isBelieved(evidence, matches))
+            return TracedCall { *matches.parents.front(), true };
+    }
+
+    // 2. By what its route's calls mostly belong to.
+    if (m_running.empty())
+        return std::nullopt;
+    return TracedCall { likelyParent(evidence, callDeadline), false };
+}
+
+void CallTracer::readRunning(Duration period)
+{
+    const auto now = m_clock.now();
+    if (!m_running.empty() && now - m_readAt < period)
+        return;
+    m_readAt = now;
+    m_running.clear();
+    m_board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
+        const auto& context = record.context;
+        if (record.state == AttemptState::Started)
+            m_running.push_back(
+                { record.deadline, context.rank, context.represents, context.depth, context.treeHash, context.route });
+    });
+    std::ranges::sort(m_running, {}, &CallParent::deadline);
+    m_byRoute.clear();
+    for (const auto& parent : m_running)
+        m_byRoute[parent.route].push_back(&parent);
+}
+
+// What a call spent on its way, and unread, makes its deadline look later than its parent's.
+CallTracer::Matches CallTracer::matchesOf(Instant callDeadline, Duration unread) const
+{
+    const auto earliest = callDeadline - unread - deadlineTravel;
+    const auto latest = callDeadline + deadlineRounding;
+    const auto between = [&](Instant from, Instant to) {
+        const auto first = std::ranges::lower_bound(m_running, from, {}, &CallParent::deadline);
+        return std::span(first, std::ranges::upper_bound(first, m_running.end(), to, {}, &CallParent::deadline));
+    };
+
+    Matches matches;
+    for (const auto& parent : between(earliest, latest))
+        matches.parents.push_back(&parent);
+    const auto distance = [&](const CallParent* parent) { return std::chrono::abs(parent->deadline - callDeadline); };
+    std::ranges::sort(matches.parents, {}, distance);
+
+    const auto around = between(earliest - neighbourhood, latest + neighbourhood).size() - matches.parents.size();
+    matches.byChance = double(around) * inSeconds(latest - earliest) / inSeconds(2 * neighbourhood);
+    return matches;
+}
+
+// Each match counts for the route of the request that it was, less its part of what chance explains.
+void CallTracer::learn(Evidence& evidence, const Matches& matches)
+{
+    evidence.calls += 1;
+    for (const auto* parent : matches.parents)
+        evidence.excess[parent->route] += 1;
+    double total = 0;
+    for (const auto& [route, count] : evidence.excess)
+        total += std::max(0.0, count);
+    for (auto& [route, count] : evidence.excess) {
+        if (total > 0)
+            count -= matches.byChance * std::max(0.0, count) / total;
+    }
+    if (evidence.calls < callsRemembered)
+        return;
+    evidence.calls /= 2;
+    for (auto& [route, count] : evidence.excess)
+        count /= 2;
+}
+
+// Before much is known, half of the calls are taken to match their parent.
+bool CallTracer::isBelieved(const Evidence& evidence, const Matches& matches)
+{
+    if (matches.parents.empty())
+        return false;
+    double excess = 1;
+    for (const auto& [route, count] : evidence.excess)
+        excess += std::max(0.0, count);
+    const double share = std::min(1.0, excess / (evidence.calls + 2));
+    return share >= believedShare * (share + (1 - share) * matches.byChance);
+}
+
+// One that runs for at least as long as the call, on a route whose requests are known to make such calls; any of them
+// while nothing is known.
+const CallParent& CallTracer::likelyParent(const Evidence& evidence, std::optional<Instant> callDeadline)
+{
+    double total = 0;
+    for (const auto& [route, parents] : m_byRoute)
+        total += callsOf(evidence, route);
+    double drawn = m_random.unit() * total;
+    for (const auto& [route, parents] : m_byRoute) {
+        drawn -= callsOf(evidence, route);
+        if (total > 0 && drawn < 0)
+            return drawLasting(parents, callDeadline);
+    }
+    return m_running[m_random.below(m_running.size())];
+}
+
+const CallParent& CallTracer::drawLasting(
+    std::span<const CallParent* const> parents, std::optional<Instant> callDeadline)
+{
+    const auto earliest = callDeadline.value_or(Instant()) - deadlineRounding;
+    const auto first = std::ranges::lower_bound(parents, earliest, {}, &CallParent::deadline);
+    const auto lasting = first == parents.end() ? parents : std::span(first, parents.end());
+    return *lasting[m_random.below(lasting.size())];
+}
+
+// Calls of requests on the route, as far as matches show.
+double CallTracer::callsOf(const Evidence& evidence, const RouteName& route)
+{
+    const auto found = evidence.excess.find(route);
+    return found == evidence.excess.end() ? 0 : std::max(0.0, found->second);
+}
+
+} // namespace Vanillaridge
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -1,5 +1,7 @@
 #include "entry/Entry.h"
 
+#include "entry/CallTracer.h"
+
 #include <algorithm>
 
 namespace Vanillaridge {
@@ -31,25 +33,6 @@
         return unitOfHash(mixHash(context.treeHash, 1)) < share;
     }
 
-    // How often the running attempts are read for the parents that calls may have, and how soon again for a call whose
-    // parent may have started since.
-    constexpr Duration parentsPeriod = milliseconds(10);
-    constexpr Duration parentsPeriodForMissing = milliseconds(1);
-    // A backend server is told its time in whole milliseconds, and tells its calls' time in the same.
-    constexpr Duration deadlineRounding = milliseconds(2);
-    // Time that a request and its call spend between node and backend server, without lag.
-    constexpr Duration deadlineTravel = milliseconds(1);
-
-    // What a call takes over from the request that it belongs to.
-    struct Parent {
-        Instant deadline;
-        Rank rank;
-        double represents;
-        uint32_t depth;
-        uint64_t treeHash;
-        RouteName route;
-    };
-
     // Retry-After of a request that comes before the first configuration, or while it is not confirmed.
     constexpr Duration configurationRetry = seconds(2);
 
@@ -62,6 +45,7 @@
         , random(random)
         , freshness(freshness)
         , retry(retry)
+        , tracer(board, clock, random)
         , sequenceSecret(random.next())
     {
     }
@@ -81,43 +65,6 @@
         return { self.id(), self.boot, mixHash(sequenceSecret, sequence.fetch_add(1, std::memory_order_relaxed)) };
     }
 
-    // Reads the attempts that run beside this node, in the order of their deadlines. That is done now and then: a node
-    // may pass on thousands of calls a second beside hundreds of attempts.
-    void readParents(Duration period)
-    {
-        const auto now = clock.now();
-        if (!parents.empty() && now - parentsReadAt < period)
-            return;
-        parentsReadAt = now;
-        parents.clear();
-        board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
-            const auto& context = record.context;
-            if (record.state == AttemptState::Started)
-                parents.push_back({ record.deadline, context.rank, context.represents, context.depth, context.treeHash,
-                    context.route });
-        });
-        std::ranges::sort(parents, {}, &Parent::deadline);
-    }
-
-    // The attempt whose deadline is that of the call: a backend server's call lasts for as long as the request that
-    // made it. What the call spent on its way, and unread, makes its deadline look later.
-    const Parent* parentOf(const IncomingRequest& call) const
-    {
-        if (!call.remaining)
-            return nullptr;
-        const auto callDeadline = clock.now() + *call.remaining;
-        const auto earliest = callDeadline - call.unread - deadlineTravel;
-        const auto latest = callDeadline + deadlineRounding;
-        const auto after = std::ranges::upper_bound(parents, latest, {}, &Parent::deadline);
-        if (after == parents.begin() || std::prev(after)->deadline < earliest)
-            return nullptr;
-        // Those that are nearest in time: the latest one that is not after the call's deadline, or the next one.
-        const auto above = std::ranges::upper_bound(parents, callDeadline, {}, &Parent::deadline);
-        if (above == parents.begin() || std::prev(above)->deadline < earliest)
-            return &*above;
-        return &*std::prev(above);
-    }
-
     // Whether the request has come back after a refusal, as the time that its caller still gives it shows.
     bool isReturning(const Route& route, std::optional<Duration> remaining)
     {
@@ -130,31 +77,22 @@
         });
     }
 
-    // Gives a call that names no parent what it has of the request that it belongs to. Where none has its deadline, it
-    // gets the worth of one that runs here, each as likely as the others, and is known to belong to none.
+    // Gives a call that names no parent what it has of the request that it belongs to, or is likely to be like.
     void adoptParent(EntryDecision& decision, const IncomingRequest& request)
     {
-        std::lock_guard guard(parentsLock);
-        readParents(parentsPeriod);
-        const auto* parent = parentOf(request);
-        if (!parent) {
-            readParents(parentsPeriodForMissing);
-            parent = parentOf(request);
-        }
         auto& context = decision.context;
-        context.parentKnown = parent || parents.empty();
-        if (!parent && !parents.empty())
-            parent = &parents[random.below(parents.size())];
-        if (!parent)
-            return;
-        board.counters().add(context.parentKnown ? Counter::CallsTraced : Counter::CallsUntraced);
-        context.rank = parent->rank;
-        context.represents = parent->represents;
-        context.depth = parent->depth + 1;
-        if (!context.parentKnown)
+        const auto call = tracer.trace(context.route, request.remaining, request.unread);
+        if (!call)
             return;
-        context.treeHash = parent->treeHash;
-        decision.parentRoute = parent->route;
+        board.counters().add(call->known ? Counter::CallsTraced : Counter::CallsUntraced);
+        const auto& parent = call->parent;
+        context.parentKnown = call->known;
+        context.rank = parent.rank;
+        context.represents = parent.represents;
+        context.depth = parent.depth + 1;
+        decision.parentRoute = parent.route;
+        if (call->known)
+            context.treeHash = parent.treeHash;
     }
 
     // The service for the next request of the route. Steps of the golden ratio visit the weights evenly from the first
@@ -185,9 +123,7 @@
     RandomSource& random;
     const Freshness& freshness;
     Retry& retry;
-    std::mutex parentsLock;
-    Instant parentsReadAt;
-    std::vector<Parent> parents;
+    CallTracer tracer;
     /// Longest time that callers of a route have given of late, in nanoseconds.
     Sharded<RouteName, double> longest;
     /// Where each route with several services stands in its turns, from 0 to 1.
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -43,7 +43,7 @@
     const ClientAccount* account { nullptr };
     /// Retries lent by the parent's attempt.
     uint32_t retriesLent { 0 };
-    /// Of a call that names no parent: the route of the request that it belongs to; empty where that is not known.
+    /// Of a call that names no parent: the route of the request that it belongs to, or is likely to.
     RouteName parentRoute {};
 };
 
@@ -55,10 +55,10 @@
 
     /// Decides about a caller's request. What follows counts against its account. One that has come back after a
     /// refusal is shed after the others of its rank. Where accounts are declared, a request to an open route that
-    /// enters beside a backend server with work is taken for a call of that server. It names no parent, but lasts for
-    /// as long as the request that made it, and takes rank, tree and depth from the running request with its deadline.
-    /// Where there is none, it gets the worth of one drawn evenly, so that the loads that services further down tell of
-    /// are divided among ranks as the calls really are.
+    /// enters beside a backend server with work is taken for a call of that server. It names no parent: if its deadline
+    /// tells which running request made it, it takes rank, tree and depth from there, and otherwise the worth of one
+    /// that its like mostly belong to, so that the loads that services further down tell of are divided among ranks as
+    /// the calls really are.
     EntryDecision decide(const IncomingRequest&);
     /// Decides about a call that a backend server beside this node makes for the request it is running. Account,
     /// importance, deadline and retries are the parent's: the backend server cannot change them.
--- a/tests/DeepServiceTests.cpp
+++ b/tests/DeepServiceTests.cpp
@@ -92,6 +92,14 @@
     BOOST_TEST(flows[0].served + flows[1].served >= 0.95 * 2000 * 5);
 }
 
+BOOST_AUTO_TEST_CASE(ThenSoItIsWhereTheCallsAreNotTraced)
+{
+    std::vector<Flow> flows { { middleRank, 1, 200 }, { lowRank, 3, 2400, false } };
+    play(flows, seconds(5));
+    BOOST_TEST(flows[0].share() >= 0.97);
+    BOOST_TEST(flows[0].served + flows[1].served >= 0.95 * 2000 * 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenMostOfItIsCallsOfMoreImportantRequests)
