Give the token of a request that did not run back to its slot

Callers within their rate got 429 while half of what had got a token was refused further down. Cause: the token stayed at the node that gave it back, lives for a tenth of the account's burst or 2 s there, and the account's next request enters elsewhere. Tokens were made at the rate and spent by requests that never ran.

It now goes back to the slot that made it, from where any node can draw it. The slot remembers its draws for half a second and takes each token back once. It credits what would not have overflowed had the token stayed, so that the bound is that of a bucket from which it was never drawn.

--- a/src/board/Counters.cpp
+++ b/src/board/Counters.cpp
@@ -36,6 +36,8 @@
         { Counter::QuotaPulls, "quota_pulls", "requests for tokens sent to other nodes" },
         { Counter::QuotaTokensCreated, "quota_tokens_created", "tokens created by quota slots held here" },
         { Counter::QuotaTokensExpired, "quota_tokens_expired", "tokens that expired unused" },
+        { Counter::QuotaTokensReturned, "quota_tokens_returned",
+            "tokens of requests that did not run, back at slots held here" },
         { Counter::QuotaLeasesAcquired, "quota_leases_acquired", "quota slot leases acquired" },
         { Counter::QuotaLeasesLost, "quota_leases_lost", "quota slot leases that lapsed or were taken" },
         { Counter::QuotaRefusedOutOfTokens, "quota_refused_out_of_tokens", "requests for which no slot had a token" },
--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -34,6 +34,7 @@
     QuotaPulls,
     QuotaTokensCreated,
     QuotaTokensExpired,
+    QuotaTokensReturned,
     QuotaLeasesAcquired,
     QuotaLeasesLost,
     QuotaRefusedOutOfTokens,
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -207,6 +207,16 @@
     Duration retryAfter { 0 };
 };
 
+/// Gives a token back to the slot that gave it: the request that took it did not run.
+struct QuotaReturn {
+    /// The pull that fetched it.
+    uint64_t pull { 0 };
+    AccountName account;
+    uint32_t slot { 0 };
+    /// Tokens of that pull that have come back so far, this one included: a repeated message changes nothing.
+    double total { 0 };
+};
+
 // --- Membership (over UDP) ----------------------------------------------------------------------------------------
 
 enum class MemberState : uint8_t { Alive, Suspect, Left, Dead };
@@ -322,7 +332,7 @@
 
 /// Messages from controller to controller. Order is part of the protocol: append only.
 using ControlMessage = std::variant<QuotaPull, QuotaGrant, Probe, ProbeAcknowledgement, MemberDigest, MemberBuckets,
-    SectionListRequest, SectionList, SectionRequest, SectionReply>;
+    SectionListRequest, SectionList, SectionRequest, SectionReply, QuotaReturn>;
 
 /// Messages on a connection between two nodes. Order is part of the protocol: append only.
 using StreamMessage = std::variant<Hello, Ready, Ping, Pong, OpenRequest, AnswerHead, Refusal, BodyChunk, BodyCredit,
--- a/src/messages/Size.cpp
+++ b/src/messages/Size.cpp
@@ -63,6 +63,8 @@
         return sum(grant.pull, grant.account, grant.tokens, grant.lifetime, grant.left, grant.retryAfter);
     }
 
+    size_t sizeOf(const QuotaReturn& given) { return sum(given.pull, given.account, given.slot, given.total); }
+
     size_t sizeOf(const Probe& probe) { return sum(probe.sequence, probe.target, probe.news, probe.updates); }
 
     size_t sizeOf(const ProbeAcknowledgement& answer)
--- a/src/node/GuardFlow.cpp
+++ b/src/node/GuardFlow.cpp
@@ -27,6 +27,7 @@
 
         void operator()(const QuotaPull& message) const { control.quota.receive(from, message); }
         void operator()(const QuotaGrant& message) const { control.quota.receive(from, message); }
+        void operator()(const QuotaReturn& message) const { control.quota.receive(from, message); }
         void operator()(const Probe& message) const { control.membership.receive(from, message); }
         void operator()(const ProbeAcknowledgement& message) const { control.membership.receive(from, message); }
         void operator()(const MemberDigest& message) const { control.membership.receive(from, message); }
--- a/src/quota/Bucket.cpp
+++ b/src/quota/Bucket.cpp
@@ -10,6 +10,9 @@
     constexpr double slotsPerRound = 8;
     constexpr Duration shortestRetry = milliseconds(50);
     constexpr Duration longestRetry = seconds(2);
+    // How long a token may come back: a request waits for a quarter of a second at most before a backend server, and
+    // its refusal has to travel.
+    constexpr Duration returnLife = milliseconds(500);
 
     double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -32,6 +35,10 @@
     m_level = level;
     m_backlog = std::max(0.0, m_backlog - m_plan.slotRate * passed);
     m_at = now;
+    while (!m_given.empty() && m_given.front().until <= now)
+        m_given.pop_front();
+    for (auto& given : m_given)
+        given.peak = std::max(given.peak, m_level);
 }
 
 void Bucket::adopt(const QuotaPlan& plan, Instant now)
@@ -40,6 +47,7 @@
     const double advance = std::max(0.0, plan.slotRate - m_plan.slotRate) * inSeconds(m_plan.validity);
     m_plan = plan;
     m_level = std::min(m_level - advance, plan.slotCapacity);
+    m_given.clear();
 }
 
 void Bucket::emptyBefore(Instant start)
@@ -48,14 +56,18 @@
         return;
     m_level = std::min(m_level, 0.0);
     m_at = start;
+    m_given.clear();
 }
 
-QuotaDraw Bucket::draw(double wanted, double least, Instant now)
+QuotaDraw Bucket::draw(uint64_t pull, double wanted, double least, Instant now)
 {
     refill(now);
     QuotaDraw draw;
     draw.tokens = m_level >= least ? std::clamp(wanted, 0.0, std::max(0.0, m_level)) : 0;
     m_level -= draw.tokens;
+    if (draw.tokens > 0) {
+        m_given.push_back({ pull, draw.tokens, 0, m_at + returnLife, m_level });
+    }
     if (draw.tokens >= wanted)
         return draw;
     draw.left = std::max(0.0, m_level);
@@ -68,4 +80,19 @@
     return draw;
 }
 
+double Bucket::giveBack(uint64_t pull, double total, Instant now)
+{
+    refill(now);
+    const auto given = std::ranges::find(m_given, pull, &Given::pull);
+    if (given == m_given.end() || !(total > given->returned))
+        return 0;
+    const double back = std::min(total, given->tokens) - given->returned;
+    const double credit = std::clamp(m_plan.slotCapacity - given->peak, 0.0, std::max(0.0, back));
+    given->returned = std::max(given->returned, std::min(total, given->tokens));
+    m_level += credit;
+    for (auto& other : m_given)
+        other.peak += credit;
+    return credit;
+}
+
 } // namespace Vanillaridge
--- a/src/quota/Bucket.h
+++ b/src/quota/Bucket.h
@@ -3,6 +3,8 @@
 
 #include "quota/Strategy.h"
 
+#include <deque>
+
 namespace Vanillaridge {
 
 /// What was asked for and what came of it.
@@ -27,13 +29,28 @@
     void emptyBefore(Instant);
     /// Takes up to `wanted` tokens, but none if there are fewer than `least`. Who gets too little is told a time that
     /// leaves room for those told before.
-    QuotaDraw draw(double wanted, double least, Instant now);
+    /// \param pull names the draw, so that what it gave can be given back
+    QuotaDraw draw(uint64_t pull, double wanted, double least, Instant now);
+    /// Takes back tokens of a draw that were not used, less what would have overflowed if they had stayed: so the bucket
+    /// never gives more than one from which they were not drawn.
+    /// \param total all that have come back of this draw so far
+    /// \return those that are new
+    double giveBack(uint64_t pull, double total, Instant now);
     /// Whether the plan that it goes by creates tokens like this one.
     bool follows(const QuotaPlan& plan) const { return m_plan.createsLike(plan); }
     /// Tokens created since the last call.
     double takeCreated() { return std::exchange(m_created, 0); }
 
 private:
+    /// What a draw gave, while it may come back.
+    struct Given {
+        uint64_t pull { 0 };
+        double tokens { 0 };
+        double returned { 0 };
+        Instant until;
+        /// Highest level since the draw.
+        double peak { 0 };
+    };
     void refill(Instant now);
 
     QuotaPlan m_plan;
@@ -42,6 +59,8 @@
     /// Tokens promised to those who came in vain.
     double m_backlog { 0 };
     double m_created { 0 };
+    /// Soonest to lapse first.
+    std::deque<Given> m_given;
 };
 
 } // namespace Vanillaridge
--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -13,6 +13,8 @@
     constexpr Duration shortestRetry = milliseconds(1);
     constexpr double retryJitter = 0.1;
     constexpr double largestPull = 1e6;
+    // Longer than a slot takes tokens back.
+    constexpr Duration returnMemory = seconds(2);
 
     Counter counterOf(QuotaCause cause)
     {
@@ -107,9 +109,9 @@
     pool.demand.add(1, now);
     if (pool.waiters.empty()) {
         // The clock is read again after the token is gone: it must still have been valid then.
-        if (const auto expires = spend(pool, 1); expires && m_clock.now() < *expires) {
+        if (const auto spent = spend(pool, 1); spent && m_clock.now() < spent->expires) {
             while (pullOnce(pool, now, effects)) { }
-            return { QuotaAnswer::Admitted, {}, *expires, {} };
+            return { QuotaAnswer::Admitted, {}, spent->expires, {}, spent->pull, spent->slot };
         }
     }
     if (pool.waiters.size() >= longestQueue)
@@ -141,14 +143,55 @@
     Effects effects;
     withPool(name, [&](Pool& pool) {
         const Instant now = m_clock.now();
-        if (decision.answer != QuotaAnswer::Admitted || decision.expires <= now)
+        if (decision.answer != QuotaAnswer::Admitted)
             return;
-        addTokens(pool, 1, decision.expires);
+        const bool isUsedHere = !pool.waiters.empty() || expectsRequestBefore(pool, decision.expires, now);
+        if (!isUsedHere && giveBackToSlot(pool, decision, now, effects))
+            return;
+        if (decision.expires <= now)
+            return;
+        addTokens(pool, { 1, decision.expires, decision.pull.value_or(0), decision.slot });
         settle(pool, now, effects);
     });
     finish(name, effects);
 }
 
+bool Pools::expectsRequestBefore(const Pool& pool, Instant expires, Instant now)
+{
+    return expires > now && pool.demand.perSecond() * std::chrono::duration<double>(expires - now).count() >= 1;
+}
+
+// The slot has this token then, so it may be asked at once.
+bool Pools::giveBackToSlot(Pool& pool, const QuotaDecision& decision, Instant now, Effects& effects)
+{
+    if (!decision.pull)
+        return false;
+    std::erase_if(pool.returned, [&](const Returned& entry) { return now - entry.at > returnMemory; });
+    auto entry = std::ranges::find(pool.returned, *decision.pull, &Returned::pull);
+    if (entry == pool.returned.end())
+        entry = pool.returned.insert(entry, { *decision.pull, 0, now });
+    entry->at = now;
+    entry->total += 1;
+    if (!m_slots.giveBack(decision.slot, pool.plan, entry->pull, entry->total)) {
+        const auto holder = holderOf(decision.slot);
+        if (holder.empty())
+            return false;
+        effects.messages.push_back({ holder, QuotaReturn { entry->pull, pool.account, decision.slot, entry->total } });
+    }
+    if (const auto index = pool.plan.indexOf(decision.slot, m_settings.slots); index && *index < pool.sources.size())
+        pool.sources[*index].notBefore = now;
+    pool.blockedUntil = std::min(pool.blockedUntil, now);
+    return true;
+}
+
+void Pools::receive(const QuotaReturn& given)
+{
+    const auto current = plans();
+    const auto* plan = current ? current->find(given.account) : nullptr;
+    if (plan && given.total >= 0)
+        m_slots.giveBack(given.slot, *plan, given.pull, given.total);
+}
+
 // --- Pulls and grants -----------------------------------------------------------------------------------------------
 
 void Pools::receive(const Endpoint& from, const QuotaPull& pull)
@@ -181,7 +224,7 @@
     const auto* plan = current ? current->find(pull.account) : nullptr;
     if (!plan)
         return grant;
-    if (const auto draw = m_slots.draw(pull.slot, *plan, pull.wanted, pull.least))
+    if (const auto draw = m_slots.draw(pull.slot, *plan, pull.pull, pull.wanted, pull.least))
         grant = { pull.pull, pull.account, draw->tokens, plan->validity, draw->left, draw->retryAfter };
     return grant;
 }
@@ -198,7 +241,8 @@
         pool.pulls.erase(found);
         noteRoundTrip(now - pull.sentAt);
         const double amount = std::min(grant.tokens, pull.wanted);
-        addTokens(pool, amount, pull.sentAt + grant.lifetime);
+        const auto slot = pool.plan.slotAt(pull.index, m_settings.slots);
+        addTokens(pool, { amount, pull.sentAt + grant.lifetime, pool.plan.usesHome ? 0 : pull.number, slot });
         noteResult(pool, pull.index, pull.wanted, { amount, grant.retryAfter, grant.left }, now);
         expire(pool, now);
         settle(pool, now, effects);
@@ -237,16 +281,16 @@
     const double amount = remote ? std::min(first.wanted, pool.tokens()) : 1;
     if (amount < std::min(first.wanted, 1.0))
         return false;
-    const auto expires = spend(pool, amount);
+    const auto spent = spend(pool, amount);
     const Instant spentAt = m_clock.now();
-    if (!expires || spentAt >= *expires)
+    if (!spent || spentAt >= spent->expires)
         return false;
     if (remote) {
         const auto wait = amount < first.wanted ? retryAfter(pool, now) : Duration(0);
-        const auto lifetime = *expires - spentAt;
+        const auto lifetime = spent->expires - spentAt;
         effects.messages.push_back({ first.from, QuotaGrant { first.pull, pool.account, amount, lifetime, 0, wait } });
     } else
-        decide(first, { QuotaAnswer::Admitted, {}, *expires, {} }, effects);
+        decide(first, { QuotaAnswer::Admitted, {}, spent->expires, {}, spent->pull, spent->slot }, effects);
     return true;
 }
 
--- a/src/quota/Pools.h
+++ b/src/quota/Pools.h
@@ -26,6 +26,7 @@
     void giveBack(std::string_view account, const QuotaDecision&);
     void receive(const Endpoint& from, const QuotaPull&);
     void receive(const QuotaGrant&);
+    void receive(const QuotaReturn&);
     /// Ends what took too long, and pulls ahead of demand.
     void tick();
     /// Refuses every waiting request.
@@ -39,6 +40,16 @@
     struct Batch {
         double tokens { 0 };
         Instant expires;
+        /// The pull and the slot that it came from.
+        uint64_t pull { 0 };
+        uint32_t slot { 0 };
+    };
+
+    /// Tokens of one pull that went back to their slot.
+    struct Returned {
+        uint64_t pull { 0 };
+        double total { 0 };
+        Instant at;
     };
 
     /// A pull under way.
@@ -90,6 +101,7 @@
         std::vector<Pull> pulls;
         std::deque<Waiter> waiters;
         std::vector<Source> sources;
+        std::vector<Returned> returned;
         uint32_t nextIndex { 0 };
         /// Sources asked in vain since one gave what was wanted.
         uint32_t misses { 0 };
@@ -142,8 +154,16 @@
     static void block(Pool&, Instant until);
     void list(Pool&, Effects&);
 
-    void addTokens(Pool&, double tokens, Instant expires);
-    std::optional<Instant> spend(Pool&, double tokens);
+    void addTokens(Pool&, const Batch&);
+    /// What was spent: when the first of it expires, and where it came from if that was one pull.
+    struct Spent {
+        Instant expires;
+        std::optional<uint64_t> pull;
+        uint32_t slot { 0 };
+    };
+    std::optional<Spent> spend(Pool&, double tokens);
+    bool giveBackToSlot(Pool&, const QuotaDecision&, Instant now, Effects&);
+    static bool expectsRequestBefore(const Pool&, Instant expires, Instant now);
     void expire(Pool&, Instant now);
     void endWaits(Pool&, Instant now, Effects&);
     void endPulls(Pool&, Instant now);
--- a/src/quota/Pulls.cpp
+++ b/src/quota/Pulls.cpp
@@ -69,8 +69,9 @@
 {
     const auto slot = pool.plan.slotAt(index, m_settings.slots);
     pool.nextIndex = (index + 1) % pool.plan.slots;
-    if (const auto draw = m_slots.draw(slot, pool.plan, amount, least)) {
-        addTokens(pool, draw->tokens, now + pool.plan.validity);
+    const auto number = m_nextPull.fetch_add(1);
+    if (const auto draw = m_slots.draw(slot, pool.plan, number, amount, least)) {
+        addTokens(pool, { draw->tokens, now + pool.plan.validity, number, slot });
         noteResult(pool, index, amount, *draw, now);
         return true;
     }
@@ -78,7 +79,7 @@
     if (holder.empty())
         noteUnknownHolder(pool, index, now);
     else
-        send(pool, holder, slot, { m_nextPull.fetch_add(1), index, amount, now }, least, effects);
+        send(pool, holder, slot, { number, index, amount, now }, least, effects);
     return true;
 }
 
--- a/src/quota/Quota.cpp
+++ b/src/quota/Quota.cpp
@@ -139,6 +139,8 @@
 
 void Quota::receive(const Endpoint&, const QuotaGrant& grant) { m_parts->pools.receive(grant); }
 
+void Quota::receive(const Endpoint&, const QuotaReturn& given) { m_parts->pools.receive(given); }
+
 void Quota::tick()
 {
     const Instant now = m_parts->clock.now();
--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -108,6 +108,9 @@
     Instant expires {};
     /// With Refused: why.
     QuotaEvidence evidence {};
+    /// With Admitted: the pull and the slot that gave the token; no pull when it was put together from several.
+    std::optional<uint64_t> pull {};
+    uint32_t slot { 0 };
 };
 
 /// Called exactly once for a pending request, with Admitted or Refused, outside any lock, from whichever thread called
@@ -140,13 +143,16 @@
 
     /// Asks for one token. Without a callback a request never waits: what would be Pending is Refused.
     QuotaDecision take(std::string_view account, QuotaCallback whenDecided = {});
-    /// Returns the token of a request that did not run. A token that has expired since is gone.
+    /// Returns the token of a request that did not run: to the slot that gave it, from where any node may draw it,
+    /// unless requests wait here or more are expected soon. A slot takes back what it gave within the last half second.
     void giveBack(std::string_view account, const QuotaDecision&);
 
     /// Another node asks for tokens.
     void receive(const Endpoint& from, const QuotaPull&);
     /// Tokens arrived, or the news that there are none.
     void receive(const Endpoint& from, const QuotaGrant&);
+    /// A token comes back that the slot of this node gave.
+    void receive(const Endpoint& from, const QuotaReturn&);
 
     /// Renews leases, pulls ahead of demand, ends waits and pulls that took too long. To be called about every 50 ms.
     void tick();
--- a/src/quota/Slots.cpp
+++ b/src/quota/Slots.cpp
@@ -3,6 +3,7 @@
 #include "quota/LeaseRecord.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace Vanillaridge {
@@ -32,7 +33,7 @@
 }
 
 // The lease is checked under the slot's lock before the draw and again after it: a pause in between loses tokens.
-std::optional<QuotaDraw> Slots::draw(uint32_t slot, const QuotaPlan& plan, double wanted, double least)
+std::optional<QuotaDraw> Slots::draw(uint32_t slot, const QuotaPlan& plan, uint64_t pull, double wanted, double least)
 {
     const auto index = plan.indexOf(slot, m_settings.slots);
     if (!index)
@@ -49,7 +50,7 @@
         else if (!usable(state, now))
             return std::nullopt;
         auto& bucket = bucketOf(state, plan, *index, now);
-        const auto draw = bucket.draw(wanted, least, now);
+        const auto draw = bucket.draw(pull, wanted, least, now);
         m_board.counters().add(Counter::QuotaTokensCreated, static_cast<uint64_t>(bucket.takeCreated()));
         if (!local && !usable(state, m_clock.now()))
             return std::nullopt;
@@ -57,6 +58,21 @@
     });
 }
 
+bool Slots::giveBack(uint32_t slot, const QuotaPlan& plan, uint64_t pull, double total)
+{
+    bool held = false;
+    m_slots.visit(slot, [&](Slot& state) {
+        const Instant now = m_clock.now();
+        held = slot >= m_settings.slots || usable(state, now);
+        const auto found = state.buckets.find(plan.accountHash);
+        if (!held || found == state.buckets.end() || !found->second.follows(plan))
+            return;
+        const double returned = found->second.giveBack(pull, total, now);
+        m_board.counters().add(Counter::QuotaTokensReturned, static_cast<uint64_t>(std::llround(returned)));
+    });
+    return held;
+}
+
 // A bucket that nobody asked for yet is taken to exist, empty, since the slot is held or new in the plan.
 Bucket& Slots::bucketOf(Slot& state, const QuotaPlan& plan, uint32_t index, Instant now)
 {
--- a/src/quota/Slots.h
+++ b/src/quota/Slots.h
@@ -19,7 +19,10 @@
     Slots(Board&, Clock&, RandomSource&, ObjectStore&, const QuotaSettings&);
 
     /// Draws tokens for the plan's account; nothing if this node can't use the slot now.
-    std::optional<QuotaDraw> draw(uint32_t slot, const QuotaPlan&, double wanted, double least);
+    /// \param pull names the draw, for giveBack()
+    std::optional<QuotaDraw> draw(uint32_t slot, const QuotaPlan&, uint64_t pull, double wanted, double least);
+    /// Takes back tokens of a draw; false if this node can't use the slot now. See Bucket::giveBack().
+    bool giveBack(uint32_t slot, const QuotaPlan&, uint64_t pull, double total);
     /// Goes over to changed plans, also for accounts that nobody asks about.
     void adopt(const QuotaPlans&, Instant now);
     /// Takes the next step of every lease that needs one. `wanted` tells whether this node should take a slot,
--- a/src/quota/Tokens.cpp
+++ b/src/quota/Tokens.cpp
@@ -52,27 +52,30 @@
     return sum;
 }
 
-void Pools::addTokens(Pool& pool, double tokens, Instant expires)
+void Pools::addTokens(Pool& pool, const Batch& batch)
 {
-    if (tokens <= 0)
+    if (batch.tokens <= 0)
         return;
-    const auto place = std::ranges::upper_bound(pool.batches, expires, {}, &Batch::expires);
-    pool.batches.insert(place, { tokens, expires });
+    const auto place = std::ranges::upper_bound(pool.batches, batch.expires, {}, &Batch::expires);
+    pool.batches.insert(place, batch);
 }
 
-// Takes tokens, the soonest to expire first; tells when the first of them expires. Nothing if there are too few.
-std::optional<Instant> Pools::spend(Pool& pool, double tokens)
+// Takes tokens, the soonest to expire first. Nothing if there are too few.
+std::optional<Pools::Spent> Pools::spend(Pool& pool, double tokens)
 {
     if (pool.batches.empty() || pool.tokens() < tokens)
         return std::nullopt;
-    const Instant expires = pool.batches.front().expires;
+    const auto& first = pool.batches.front();
+    Spent spent { first.expires, std::nullopt, first.slot };
+    if (first.tokens >= tokens && first.pull)
+        spent.pull = first.pull;
     for (auto& batch : pool.batches) {
         const double part = std::min(tokens, batch.tokens);
         batch.tokens -= part;
         tokens -= part;
     }
     std::erase_if(pool.batches, [](const Batch& batch) { return batch.tokens <= 0; });
-    return expires;
+    return spent;
 }
 
 void Pools::expire(Pool& pool, Instant now)
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -144,6 +144,12 @@
     archive(pull, account, tokens, lifetime, left, retryAfter);
 }
 
+template <typename Archive> void serialize(Archive& archive, QuotaReturn& message)
+{
+    auto& [pull, account, slot, total] = message;
+    archive(pull, account, slot, total);
+}
+
 template <typename Archive> void serialize(Archive& archive, ServerAnnouncement& announcement)
 {
     auto& [service, generation, slots, draining] = announcement;
--- a/tests/QuotaWorld.h
+++ b/tests/QuotaWorld.h
@@ -404,6 +404,8 @@
             quota.receive(from, *pull);
         else if (const auto* grant = std::get_if<QuotaGrant>(&message))
             quota.receive(from, *grant);
+        else if (const auto* given = std::get_if<QuotaReturn>(&message))
+            quota.receive(from, *given);
         collect(at);
     }
 
