Count only the calls that really stand for others

A traced call that stands a little above the shed level passed although the share that passes was taken for 0, and was sent on as standing for infinitely many. The next node drops a message with such a number and with it the whole connection between the two, so that all requests on it fail.

The share that passes and the height of a request now come from one function, and nothing stands for more than its probes would. PlacementTests failed before (ThenTheSameRequestsSurviveEverywhere, which now looks at what survivors stand for).

LaggingNodeTests again sees that a sudden lag sheds none of the most important while they fit.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -125,7 +125,7 @@
     {
         if (strategy != AdmissionStrategy::Adaptive || !context.parentKnown || context.depth > 1)
             return false;
-        const double survival = survivalAt(context.rank, level);
+        const double survival = survivalAt(context.rank, context.depth, level);
         if (survival >= 1)
             return false;
         if (sheddingHeight(context) < level && random.unit() >= probeFraction)
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -18,18 +18,22 @@
     // Part of a rank by which calls stand above new requests of their rank.
     constexpr double headStartOfCalls = 0.25;
 
+    // Height of those that are shed last.
+    double topOf(Rank rank, uint32_t depth)
+    {
+        return double(rankCount - indexOf(rank)) + (depth > 1 ? headStartOfCalls : 0);
+    }
+
 } // namespace
 
 double sheddingHeight(const RequestContext& context)
 {
-    const auto ranksBelow = double(rankCount - 1 - indexOf(context.rank));
-    return ranksBelow + 1 - unitOfHash(context.treeHash) + (context.depth > 1 ? headStartOfCalls : 0);
+    return topOf(context.rank, context.depth) - unitOfHash(context.treeHash);
 }
 
-double survivalAt(Rank rank, double shedLevel)
+double survivalAt(Rank rank, uint32_t depth, double shedLevel)
 {
-    const auto ranksBelow = double(rankCount - 1 - indexOf(rank));
-    return std::clamp(ranksBelow + 1 - shedLevel, 0.0, 1.0);
+    return std::clamp(topOf(rank, depth) - shedLevel, 0.0, 1.0);
 }
 
 bool isDatagram(const ControlMessage& message)
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -64,8 +64,8 @@
 /// requests survive on every node. Calls of requests that run stand a little higher, since what has been done for them
 /// is lost with them: a level that rises refuses new requests first.
 double sheddingHeight(const RequestContext&);
-/// The share of an account's requests of this rank that survive at a shed level.
-double survivalAt(Rank, double shedLevel);
+/// The share of an account's requests of this rank and depth that survive at a shed level.
+double survivalAt(Rank, uint32_t depth, double shedLevel);
 
 /// Opens a stream: a request for the backend server beside the receiver.
 struct OpenRequest {
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -251,11 +251,11 @@
 // Whether this request is shed, and how many it stands for if not.
 bool Placement::State::isShed(ShedRecord& record, RequestContext& context)
 {
-    // 1. Those whose rank is high enough pass, and calls of requests that already run.
+    // 1. Those whose rank is high enough pass, and calls of requests that are not known.
     if (!context.parentKnown)
         return false;
     const double level = presentLevel(record);
-    const double survival = survivalAt(context.rank, level);
+    const double survival = survivalAt(context.rank, context.depth, level);
     if (survival >= 1)
         return false;
 
@@ -271,7 +271,8 @@
 
     // 3. What passes stands for what does not.
     if (!isShed)
-        context.represents = std::max(context.represents, 1 / (survival + (1 - survival) * probe));
+        context.represents
+            = std::max(context.represents, 1 / std::max(probeFraction, survival + (1 - survival) * probe));
     return isShed;
 }
 
--- a/tests/PlacementTests.cpp
+++ b/tests/PlacementTests.cpp
@@ -256,6 +256,8 @@
             one.treeHash = mixHash(i, 5);
             auto other = one;
             RC_ASSERT(first.placement.shedAtEntry(one) == second.placement.shedAtEntry(other));
+            RC_ASSERT(one.represents >= 1);
+            RC_ASSERT(one.represents <= 100);
         }
     }));
 }
