Treat calls as calls of all accounts, and keep them where only new work is to be shed

Under fairness first all calls to open routes counted as one account, larger than all others, and were cut to its share: running requests lost their calls before new work was shed. New work that is to be shed by level no longer evicts a waiting call, unless the queue is full.

What a route goes on to call is learnt from its requests that were served: those that were refused made no calls, and counting them made a route seem to need nothing just while it was shed.

--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -172,8 +172,11 @@
 
 void Admission::finished(std::string_view service, const AttemptId& attempt, AdmittedEnd end)
 {
-    if (auto* gate = m_state->existingGate(ServiceName(service)))
-        gate->finished(attempt, end);
+    auto* gate = m_state->existingGate(ServiceName(service));
+    const auto route = gate ? gate->finished(attempt, end) : std::nullopt;
+    // One that was refused or failed may not have made all its calls.
+    if (route && end == AdmittedEnd::Served)
+        m_state->board.routeCalls().visit(*route, [](RouteCallsRecord& record) { record.requests += 1; });
 }
 
 void Admission::abandon(std::string_view service, const AttemptId& attempt)
@@ -196,11 +199,9 @@
     return m_state->loadOf(ServiceName(service), std::nullopt);
 }
 
-// One such answer goes out for each request, so this is also where requests of a route are counted.
 LoadFeedback Admission::feedback(const RequestContext& context) const
 {
     auto load = m_state->loadOf(context.service, context.account);
-    m_state->board.routeCalls().visit(context.route, [](RouteCallsRecord& record) { record.requests += 1; });
     load.shedLevel = std::max(load.shedLevel, m_state->shedLevelBelow(context));
     return load;
 }
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -37,6 +37,12 @@
 
 } // namespace
 
+// Calls to open routes come for all accounts, and are not one large account.
+static double levelFor(const ShedBudget& budget, std::string_view account)
+{
+    return account.empty() ? budget.level() : budget.level(account);
+}
+
 const std::array<Gate::StrategyRow, 5> Gate::strategies { {
     { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::placeByWorth, &Gate::isDroppedUnlessCritical, 1 },
     { &Gate::noLimit, &Gate::isNeverShed, &Gate::placeByArrival, &Gate::isNeverDropped, 1 },
@@ -82,14 +88,14 @@
 
 uint32_t Gate::declaredLimit(Instant) const { return m_settings.slots; }
 
+// A call whose request is not known here cannot be shed together with it: load is told to where requests enter instead.
 bool Gate::isShedByLevel(const RequestContext& context) const
 {
-    return context.parentKnown && sheddingHeight(context) < m_budget.level(context.account);
+    return context.parentKnown && sheddingHeight(context) < levelFor(m_budget, context.account);
 }
 
 bool Gate::isNeverShed(const RequestContext&) const { return false; }
 
-// A call whose request is not known here cannot be shed together with it: load is told to where requests enter instead.
 bool Gate::isNewWork(const RequestContext& context) { return context.parentKnown && context.depth == 1; }
 
 Gate::Place Gate::placeByWorth(const RequestContext& context)
@@ -171,7 +177,8 @@
     if (isShed || isFull) {
         const bool isWorse = m_queue.empty() || m_queue.rbegin()->first < place;
         const bool sameRank = !m_queue.empty() && m_queue.rbegin()->first.rank == place.rank;
-        if (isWorse || (isShed && sameRank))
+        const bool isCallLast = !m_queue.empty() && !m_queue.rbegin()->first.isNewWork;
+        if (isWorse || (isShed && (sameRank || (isCallLast && !isFull))))
             return refusal(isShed ? Reason::ShedAtGuard : Reason::QueueFull);
         evictWorst(Reason::ShedAtGuard);
     }
@@ -209,12 +216,12 @@
 
 // --- Ends ---------------------------------------------------------------------------------------------------------
 
-void Gate::finished(const AttemptId& attempt, AdmittedEnd end)
+std::optional<RouteName> Gate::finished(const AttemptId& attempt, AdmittedEnd end)
 {
     std::lock_guard guard(m_lock);
     const auto found = m_tickets.find(attempt);
     if (found == m_tickets.end() || found->second.waiting)
-        return;
+        return std::nullopt;
     const auto now = m_clock.now();
     const auto spent = now - found->second.since;
     m_limit.noteEnd(end, spent, m_running);
@@ -224,8 +231,10 @@
         m_serviceTimes.note(found->second.route, spent, now);
         noteServiceTime(inSeconds(spent));
     }
+    auto route = std::move(found->second.route);
     m_tickets.erase(found);
     --m_running;
+    return route;
 }
 
 void Gate::noteServiceTime(double spent)
@@ -267,8 +276,8 @@
     }
 }
 
-// Refuses what has waited too long or can no longer finish. A request that waited too long takes those of lower
-// importance with it: they would have waited in vain, and must not outlive it.
+// Refuses what has waited too long or can no longer finish. A request that waited too long takes new work of lower rank
+// with it: they would have waited in vain, and must not outlive it.
 void Gate::refuseLate(Instant now)
 {
     auto lowestLeft = lowestRank;
@@ -356,8 +365,8 @@
     load.running = m_running;
     load.waiting = static_cast<uint32_t>(m_queue.size());
     load.limit = (this->*m_strategy.limit)(m_clock.now());
-    const double levelForLag = account ? m_lagBudget.level(*account) : m_lagBudget.level();
-    load.shedLevel = account ? m_budget.level(*account) : m_budget.level();
+    const double levelForLag = levelFor(m_lagBudget, account.value_or(""));
+    load.shedLevel = levelFor(m_budget, account.value_or(""));
     load.shedLevel = std::max(load.shedLevel, levelForLag);
     load.serviceTime = expectedService();
     load.queueTime = fromSeconds(m_queueTime);
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -30,7 +30,8 @@
     void configure(const GateSettings&);
 
     AdmissionDecision offer(const RequestContext&, Instant deadline, RoomBelow);
-    void finished(const AttemptId&, AdmittedEnd);
+    /// \return the route of the attempt that left its slot
+    std::optional<RouteName> finished(const AttemptId&, AdmittedEnd);
     void abandon(const AttemptId&);
     /// Decides on those who wait. The lag is that of this node, in whose event loop requests wait as well.
     void settle(std::string_view service, Duration lag, std::vector<AdmissionChange>&);
--- a/tests/DeepServiceTests.cpp
+++ b/tests/DeepServiceTests.cpp
@@ -21,6 +21,7 @@
     double rate { 0 }; // per second
     bool parentKnown { true };
     double due { 0 };
+    uint32_t accounts { 1 };
     int sent { 0 };
     int served { 0 };
     double share() const { return sent ? double(served) / sent : 1; }
@@ -56,7 +57,7 @@
         context.rank = flow.rank;
         context.depth = flow.depth;
         context.parentKnown = flow.parentKnown;
-        context.account = flow.depth > 1 ? "" : "owner";
+        context.account = flow.depth > 1 ? "" : "owner-" + std::to_string(sequence % flow.accounts);
         ++flow.sent;
         m_flowOf[context.attempt] = index;
         const auto verdict = admission.offer(context, clock.now() + patienceOfCallers).verdict;
@@ -123,6 +124,14 @@
     BOOST_TEST(flows[0].served + flows[1].served >= 0.95 * 2000 * 5);
 }
 
+BOOST_AUTO_TEST_CASE(ThenCallsAreNotTakenForOneLargeAccount)
+{
+    std::vector<Flow> flows { { middleRank, 1, 600 }, { middleRank, 3, 2200 } };
+    flows[0].accounts = 60;
+    play(flows, seconds(5));
+    BOOST_TEST(flows[1].share() >= flows[0].share());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenTheMostImportantAloneAreMoreThanFits)
