Learn which routes make calls from deadlines around them, not from matches alone

Found in review: chance matches were taken off by each route's share of the excess, so that with many running the excess was just their mix again, and uploads were taken to need what their neighbours call. Running attempts are read again for a call only where its like mostly match.

--- a/src/entry/CallTracer.cpp
+++ b/src/entry/CallTracer.cpp
@@ -18,6 +18,8 @@
     constexpr Duration neighbourhood = milliseconds(50);
     // Share of the matches of a route that have to be true for one to be believed.
     constexpr double believedShare = 0.8;
+    // Share of calls that match their parent from which on it is looked for among those that have just started.
+    constexpr double shareWorthReading = 0.5;
     // Counts are halved at this many calls.
     constexpr double callsRemembered = 512;
 
@@ -46,19 +48,19 @@
     if (remaining && !m_running.empty()) {
         callDeadline = m_clock.now() + *remaining;
         auto matches = matchesOf(*callDeadline, unread);
-        if (matches.parents.empty()) {
+        if (matches.parents.empty() && evidence.share() >= shareWorthReading) {
             readRunning(readPeriodForMissing);
             matches = matchesOf(*callDeadline, unread);
         }
         learn(evidence, matches);
         if (isBelieved(evidence, matches))
-            return TracedCall { *matches.parents.front(), true };
+            return TracedCall { *matches.parents.front(), true, true };
     }
 
     // 2. By what its route's calls mostly belong to.
     if (m_running.empty())
         return std::nullopt;
-    return TracedCall { likelyParent(evidence, callDeadline), false };
+    return likelyParent(evidence, callDeadline);
 }
 
 void CallTracer::readRunning(Duration period)
@@ -96,24 +98,24 @@
     const auto distance = [&](const CallParent* parent) { return std::chrono::abs(parent->deadline - callDeadline); };
     std::ranges::sort(matches.parents, {}, distance);
 
-    const auto around = between(earliest - neighbourhood, latest + neighbourhood).size() - matches.parents.size();
-    matches.byChance = double(around) * inSeconds(latest - earliest) / inSeconds(2 * neighbourhood);
+    const double part = inSeconds(latest - earliest) / inSeconds(latest - earliest + 2 * neighbourhood);
+    for (const auto& other : between(earliest - neighbourhood, latest + neighbourhood)) {
+        if (other.deadline >= earliest && other.deadline <= latest)
+            continue;
+        matches.chanceByRoute[other.route] += part / (1 - part);
+        matches.byChance += part / (1 - part);
+    }
     return matches;
 }
 
-// Each match counts for the route of the request that it was, less its part of what chance explains.
+// Each match counts for the route of the request that it was, less what the deadlines around would give.
 void CallTracer::learn(Evidence& evidence, const Matches& matches)
 {
     evidence.calls += 1;
     for (const auto* parent : matches.parents)
         evidence.excess[parent->route] += 1;
-    double total = 0;
-    for (const auto& [route, count] : evidence.excess)
-        total += std::max(0.0, count);
-    for (auto& [route, count] : evidence.excess) {
-        if (total > 0)
-            count -= matches.byChance * std::max(0.0, count) / total;
-    }
+    for (const auto& [route, chance] : matches.chanceByRoute)
+        evidence.excess[RouteName(route)] -= chance;
     if (evidence.calls < callsRemembered)
         return;
     evidence.calls /= 2;
@@ -121,21 +123,24 @@
         count /= 2;
 }
 
-// Before much is known, half of the calls are taken to match their parent.
+// Share of the calls that match their parent; a half before any has come.
+double CallTracer::Evidence::share() const
+{
+    double matched = 1;
+    for (const auto& [route, count] : excess)
+        matched += std::max(0.0, count);
+    return std::min(1.0, matched / (calls + 2));
+}
+
 bool CallTracer::isBelieved(const Evidence& evidence, const Matches& matches)
 {
-    if (matches.parents.empty())
-        return false;
-    double excess = 1;
-    for (const auto& [route, count] : evidence.excess)
-        excess += std::max(0.0, count);
-    const double share = std::min(1.0, excess / (evidence.calls + 2));
-    return share >= believedShare * (share + (1 - share) * matches.byChance);
+    const double share = evidence.share();
+    return !matches.parents.empty() && share >= believedShare * (share + matches.byChance);
 }
 
 // One that runs for at least as long as the call, on a route whose requests are known to make such calls; any of them
 // while nothing is known.
-const CallParent& CallTracer::likelyParent(const Evidence& evidence, std::optional<Instant> callDeadline)
+TracedCall CallTracer::likelyParent(const Evidence& evidence, std::optional<Instant> callDeadline)
 {
     double total = 0;
     for (const auto& [route, parents] : m_byRoute)
@@ -144,9 +149,9 @@
     for (const auto& [route, parents] : m_byRoute) {
         drawn -= callsOf(evidence, route);
         if (total > 0 && drawn < 0)
-            return drawLasting(parents, callDeadline);
+            return { drawLasting(parents, callDeadline), false, true };
     }
-    return m_running[m_random.below(m_running.size())];
+    return { m_running[m_random.below(m_running.size())], false, false };
 }
 
 const CallParent& CallTracer::drawLasting(
--- a/src/entry/CallTracer.h
+++ b/src/entry/CallTracer.h
@@ -19,6 +19,8 @@
 struct TracedCall {
     CallParent parent;
     bool known { false };
+    /// Whether calls of its route are known to come from requests of the parent's.
+    bool routeKnown { false };
 };
 
 /// A backend server's call lasts no longer than the request that made it, and where that is what bounds it, its
@@ -39,12 +41,15 @@
     /// Calls of one route, counted with decay.
     struct Evidence {
         double calls { 0 };
-        /// By the route of those running: matches beyond those that chance explains.
+        /// By the route of those running: matches, less those that the deadlines around explain.
         std::map<RouteName, double> excess;
+        double share() const;
     };
-    /// The running requests whose deadline may be the call's, nearest first, and how many such chance would give.
+    /// The running requests whose deadline may be the call's, nearest first; how many others may be expected among
+    /// them, by their routes and in all.
     struct Matches {
         std::vector<const CallParent*> parents;
+        std::map<std::string_view, double> chanceByRoute;
         double byChance { 0 };
     };
 
@@ -52,7 +57,7 @@
     Matches matchesOf(Instant callDeadline, Duration unread) const;
     static void learn(Evidence&, const Matches&);
     static bool isBelieved(const Evidence&, const Matches&);
-    const CallParent& likelyParent(const Evidence&, std::optional<Instant> callDeadline);
+    TracedCall likelyParent(const Evidence&, std::optional<Instant> callDeadline);
     const CallParent& drawLasting(std::span<const CallParent* const>, std::optional<Instant> callDeadline);
     static double callsOf(const Evidence&, const RouteName&);
 
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -90,7 +90,8 @@
         context.rank = parent.rank;
         context.represents = parent.represents;
         context.depth = parent.depth + 1;
-        decision.parentRoute = parent.route;
+        if (call->routeKnown)
+            decision.parentRoute = parent.route;
         if (call->known)
             context.treeHash = parent.treeHash;
     }
--- a/tests/EntryTests.cpp
+++ b/tests/EntryTests.cpp
@@ -205,6 +205,29 @@
     BOOST_TEST(traced(200) <= 20);
 }
 
+BOOST_AUTO_TEST_CASE(ThenACallIsNotTracedWhereLagLeavesSeveralThatItMayBelongTo)
+{
+    for (uint64_t i = 0; i < 100; ++i)
+        run(i, "sign", Importance::High, milliseconds(700 + 4 * i));
+    int traced = 0;
+    for (int i = 0; i < 100; ++i)
+        traced += call(milliseconds(900), milliseconds(100)).context.parentKnown;
+    BOOST_TEST(traced == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ThenCallsThatMatchNobodyGoToThoseWhoseCallsMatchSometimes)
+{
+    for (uint64_t i = 0; i < 300; ++i)
+        run(i, i % 2 ? "upload" : "sign", Importance::High, milliseconds(400 + 4 * i));
+    int toUploads = 0;
+    for (int i = 0; i < 1000; ++i) {
+        // Every fourth call has the time that is left of a signature.
+        const auto left = i % 4 ? milliseconds(600 + random->below(100)) : milliseconds(400 + 8 * random->below(100));
+        toUploads += i >= 500 && call(left).parentRoute == "upload";
+    }
+    BOOST_TEST(toUploads <= 75);
+}
+
 BOOST_AUTO_TEST_CASE(ThenARequestThatHasJustStartedIsFound)
 {
     run(1, "sign", Importance::Critical, milliseconds(600));
