Count a token as given back only once it is on its way

A token that could not be given back since no holder was known was kept and used, and counted as given back all the same, so that the next message credited two. Nor is a token given back that its slot no longer takes, or kept for requests that other tokens are there for.

--- a/src/quota/Bucket.cpp
+++ b/src/quota/Bucket.cpp
@@ -10,9 +10,6 @@
     constexpr double slotsPerRound = 8;
     constexpr Duration shortestRetry = milliseconds(50);
     constexpr Duration longestRetry = seconds(2);
-    // How long a token may come back: a request waits for a quarter of a second at most before a backend server, and
-    // its refusal has to travel.
-    constexpr Duration returnLife = milliseconds(500);
 
     double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -66,7 +63,7 @@
     draw.tokens = m_level >= least ? std::clamp(wanted, 0.0, std::max(0.0, m_level)) : 0;
     m_level -= draw.tokens;
     if (draw.tokens > 0) {
-        m_given.push_back({ pull, draw.tokens, 0, m_at + returnLife, m_level });
+        m_given.push_back({ pull, draw.tokens, 0, m_at + tokenReturnLife, m_level });
     }
     if (draw.tokens >= wanted)
         return draw;
--- a/src/quota/Bucket.h
+++ b/src/quota/Bucket.h
@@ -7,6 +7,10 @@
 
 namespace Vanillaridge {
 
+/// How long a slot takes a token back: a request waits for a quarter of a second at most before a backend server, and
+/// its refusal has to travel.
+constexpr Duration tokenReturnLife = milliseconds(500);
+
 /// What was asked for and what came of it.
 struct QuotaDraw {
     double tokens { 0 };
@@ -31,10 +35,9 @@
     /// leaves room for those told before.
     /// \param pull names the draw, so that what it gave can be given back
     QuotaDraw draw(uint64_t pull, double wanted, double least, Instant now);
-    /// Takes back tokens of a draw that were not used, less what would have overflowed if they had stayed: so the bucket
-    /// never gives more than one from which they were not drawn.
-    /// \param total all that have come back of this draw so far
-    /// \return those that are new
+    /// Takes back tokens of a draw that were not used, less what would have overflowed if they had stayed: so the
+    /// bucket never gives more than one from which they were not drawn. \param total all that have come back of this
+    /// draw so far \return what the bucket has more now
     double giveBack(uint64_t pull, double total, Instant now);
     /// Whether the plan that it goes by creates tokens like this one.
     bool follows(const QuotaPlan& plan) const { return m_plan.createsLike(plan); }
--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -156,28 +156,32 @@
     finish(name, effects);
 }
 
+// Whether more requests are likely to come here before the token expires than there are tokens for.
 bool Pools::expectsRequestBefore(const Pool& pool, Instant expires, Instant now)
 {
-    return expires > now && pool.demand.perSecond() * std::chrono::duration<double>(expires - now).count() >= 1;
+    const double left = std::chrono::duration<double>(expires - now).count();
+    return expires > now && pool.demand.perSecond() * left >= pool.tokens() + 1;
 }
 
-// The slot has this token then, so it may be asked at once.
+// The slot has this token then, so it may be asked at once. One that is too old for its slot is kept.
 bool Pools::giveBackToSlot(Pool& pool, const QuotaDecision& decision, Instant now, Effects& effects)
 {
-    if (!decision.pull)
+    const auto age = now - (decision.expires - pool.plan.validity);
+    if (!decision.pull || age >= tokenReturnLife)
         return false;
     std::erase_if(pool.returned, [&](const Returned& entry) { return now - entry.at > returnMemory; });
     auto entry = std::ranges::find(pool.returned, *decision.pull, &Returned::pull);
     if (entry == pool.returned.end())
         entry = pool.returned.insert(entry, { *decision.pull, 0, now });
-    entry->at = now;
-    entry->total += 1;
-    if (!m_slots.giveBack(decision.slot, pool.plan, entry->pull, entry->total)) {
+    const double total = entry->total + 1;
+    if (!m_slots.giveBack(decision.slot, pool.plan, entry->pull, total)) {
         const auto holder = holderOf(decision.slot);
         if (holder.empty())
             return false;
-        effects.messages.push_back({ holder, QuotaReturn { entry->pull, pool.account, decision.slot, entry->total } });
+        effects.messages.push_back({ holder, QuotaReturn { entry->pull, pool.account, decision.slot, total } });
     }
+    entry->at = now;
+    entry->total = total;
     if (const auto index = pool.plan.indexOf(decision.slot, m_settings.slots); index && *index < pool.sources.size())
         pool.sources[*index].notBefore = now;
     pool.blockedUntil = std::min(pool.blockedUntil, now);
