--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -35,13 +35,13 @@
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
     }
 
-} // namespace
+    // Calls to open routes come for all accounts, and are not one large account.
+    double levelFor(const ShedBudget& budget, std::string_view account)
+    {
+        return account.empty() ? budget.level() : budget.level(account);
+    }
 
-// Calls to open routes come for all accounts, and are not one large account.
-static double levelFor(const ShedBudget& budget, std::string_view account)
-{
-    return account.empty() ? budget.level() : budget.level(account);
-}
+} // namespace
 
 const std::array<Gate::StrategyRow, 5> Gate::strategies { {
     { &Gate::adaptiveLimit, &Gate::isShedByLevel, &Gate::placeByWorth, &Gate::isDroppedUnlessCritical, 1 },
@@ -170,7 +170,8 @@
     m_saturated = true;
     const Place place = (this->*m_strategy.place)(context);
 
-    // 1. Shed by level or by a full queue, unless something less important waits, which then goes in its place.
+    // 1. Shed by level or by a full queue, unless something less important waits, which then goes in its place. A call
+    // that waits makes way only in a full queue.
     const bool isFull = double(m_queue.size()) >= queueCapacity() * m_strategy.queueFactor;
     const bool isShed = (this->*m_strategy.isShed)(context);
     m_overflowed |= isFull;
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -57,6 +57,7 @@
         Duration expected { 0 };
         Instant since;
         bool waiting { false };
+        // A call whose request is not known is not dropped for its wait: others of its request may be served.
         bool parentKnown { true };
         bool cannotFinish(Instant now) const { return now + expected >= deadline; }
     };
--- a/src/board/Counters.cpp
+++ b/src/board/Counters.cpp
@@ -18,7 +18,7 @@
         { Counter::RequestsRefused, "requests_refused", "requests that the system answered itself" },
         { Counter::RequestsCancelled, "requests_cancelled", "requests cancelled while they ran" },
         { Counter::CallsTraced, "calls_traced", "calls of backend servers whose request is known" },
-        { Counter::CallsUntraced, "calls_untraced", "calls of backend servers put down to a request drawn at random" },
+        { Counter::CallsUntraced, "calls_untraced", "calls of backend servers with the rank of a likely request" },
         { Counter::RetriesSpent, "retries_spent", "further tries after the first" },
         { Counter::RetriesWithoutBudget, "retries_without_budget", "tries not made for lack of budget" },
         { Counter::VerdictsNotStarted, "verdicts_not_started", "verdicts that an attempt had not started" },
--- a/src/entry/CallTracer.cpp
+++ b/src/entry/CallTracer.cpp
@@ -123,7 +123,7 @@
         count /= 2;
 }
 
-// Share of the calls that match their parent; a half before any has come.
+// Share of the calls that match their parent: (matches beyond chance + 1) / (calls + 2), a half before any has come.
 double CallTracer::Evidence::share() const
 {
     double matched = 1;
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -11,10 +11,6 @@
         = std::is_same_v<Message,
               Probe> || std::is_same_v<Message, ProbeAcknowledgement> || std::is_same_v<Message, MemberDigest> || std::is_same_v<Message, MemberBuckets>;
 
-} // namespace
-
-namespace {
-
     // Part of a rank by which calls stand above new requests of their rank.
     constexpr double headStartOfCalls = 0.25;
 
