--- a/src/messages/Size.cpp
+++ b/src/messages/Size.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     // Bytes before each string or sequence, for its length.
-    constexpr size_t lengthSize = 8;
+    constexpr size_t lengthSize = sizeof(uint32_t);
     // Bytes of the header of a datagram: MAC, protocol version, sender's endpoint and boot id, time of sending, kind.
     // Frames of connections have a shorter one.
     constexpr size_t longestEndpoint = std::string_view("255.255.255.255:65535").size();
