--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+std::string_view toText(LimitCause cause)
+{
+    constexpr std::array<std::string_view, 4> names { "none", "rejections", "latency", "growth" };
+    return names[static_cast<size_t>(cause)];
+}
+
 struct Admission::State {
     State(Board& board, Clock& clock, RandomSource& random, AdmissionStrategy strategy)
         : board(board)
@@ -206,4 +212,10 @@
     return load;
 }
 
+LimitReport Admission::limitReport(std::string_view service) const
+{
+    const auto* gate = m_state->existingGate(ServiceName(service));
+    return gate ? gate->limitReport() : LimitReport {};
+}
+
 } // namespace Vanillaridge
--- a/src/admission/Admission.h
+++ b/src/admission/Admission.h
@@ -48,6 +48,17 @@
     Overloaded,
 };
 
+/// What last moved the concurrency limit of a backend server.
+enum class LimitCause : uint8_t { None, Rejections, Latency, Growth };
+std::string_view toText(LimitCause);
+
+/// How a backend server's concurrency limit came to be what it is.
+struct LimitReport {
+    LimitCause cause { LimitCause::None };
+    /// Share of the attempts that the backend server rejected, of those that ended in the last window.
+    double rejectedShare { 0 };
+};
+
 /// Ways to control admission. Adaptive is the product's; the others are baselines for measurement.
 enum class AdmissionStrategy : uint8_t {
     Adaptive,
@@ -80,6 +91,8 @@
     /// what is shed by services that requests of this route go on to call, and the lag of this node. To be sent with
     /// each answer.
     LoadFeedback feedback(const RequestContext&) const;
+    /// For logs and metrics; empty while no attempt came for the service.
+    LimitReport limitReport(std::string_view service) const;
 
 private:
     struct State;
--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -77,10 +77,14 @@
 
 void ConcurrencyLimit::closeWindow(Instant now)
 {
+    const uint32_t all = m_window.ends + m_window.overloads;
+    m_report.rejectedShare = all ? double(m_window.overloads) / all : 0;
+
     // 1. The backend server's own signal goes before everything.
     if (m_window.overloads) {
         const double running = std::min(m_limit, double(m_window.leastRunningAtOverload));
         m_limit = std::max({ 1.0, m_ceiling * floorFraction, running * overloadDecrease });
+        m_report.cause = LimitCause::Rejections;
         m_overloadedAt = now;
         m_trial = Trial::None;
         return;
@@ -110,6 +114,7 @@
     m_latencyBeforeTrial = latency;
     m_limit = std::max({ 1.0, m_ceiling * floorFraction, m_limit * trialFraction });
     m_trial = Trial::Settling;
+    m_report.cause = LimitCause::Latency;
 }
 
 // The first window after the change still holds attempts from before it, so the second one counts.
@@ -129,6 +134,10 @@
     m_nextTrial = now + m_trialPause;
 }
 
-void ConcurrencyLimit::grow(double factor) { m_limit = std::min(m_ceiling, std::max(m_limit + 1, m_limit * factor)); }
+void ConcurrencyLimit::grow(double factor)
+{
+    m_limit = std::min(m_ceiling, std::max(m_limit + 1, m_limit * factor));
+    m_report.cause = LimitCause::Growth;
+}
 
 } // namespace Vanillaridge
--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -18,6 +18,7 @@
     void noteEnd(AdmittedEnd, Duration serviceTime, uint32_t running);
     /// To be called every few milliseconds; `saturated` tells whether the limit holds requests back.
     void update(Instant, bool saturated);
+    const LimitReport& report() const { return m_report; }
 
 private:
     struct Window {
@@ -48,6 +49,7 @@
     Duration m_latencyBeforeTrial { 0 };
     Instant m_nextTrial;
     Duration m_trialPause { 0 };
+    LimitReport m_report;
 };
 
 } // namespace Vanillaridge
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -374,4 +374,10 @@
     return load;
 }
 
+LimitReport Gate::limitReport() const
+{
+    std::lock_guard guard(m_lock);
+    return m_limit.report();
+}
+
 } // namespace Vanillaridge
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -38,6 +38,7 @@
 
     /// Load of the backend server; the shed level is that of the account, or of all when there is none.
     LoadFeedback feedback(std::optional<std::string_view> account) const;
+    LimitReport limitReport() const;
 
 private:
     // Place in the queue: best first.
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -89,6 +89,7 @@
     if (!wantsRequestLine(kind, label))
         return;
     const auto load = m_parts.control.admission.feedback(context().service);
+    const auto limit = m_parts.control.admission.limitReport(context().service);
     logRequest(kind, "attempt",
         { { "id", label }, { "attempt", toText(id()) }, { "entry", m_stream->peer().endpoint },
             { "server", m_instance }, { "service", context().service }, { "rank", toText(context().rank) },
@@ -96,6 +97,7 @@
             { "allowed-ms", inMilliseconds(m_deadline - m_acceptedAt) }, { "waited-ms", inMilliseconds(waited) },
             { "server-ms", inMilliseconds(served) }, { "expected-ms", inMilliseconds(m_admission.expected) },
             { "running", load.running }, { "waiting", load.waiting }, { "limit", load.limit },
+            { "limit-by", toText(limit.cause) }, { "rejected-share", limit.rejectedShare },
             { "shed-level", load.shedLevel }, { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
 }
 
