Lower a concurrency limit for rejections only where fewer at once are rejected less

Cause: any rejection in a window took the limit to 0.9 of the least that had run at one, though a server may reject a share of all requests however few run; and the lower the limit, the longer a window lasted and the slower it grew.

Rejections are now a signal like latency: a trial lowers the limit to 0.9 of what the server had at work at once (Little's law), and it stays there only if half of the rejections for each request taken go away. Otherwise it is put back, and tried again after 4 s, doubled up to 32 s, or at once when there are twice as many. A window holds as many ends as fill the slots four times, so that a low limit rises as soon as a high one. Rejections that are too few to be told from chance do not hold the limit.

Evidence: RejectingServerTests failed with 7 checks before (limit 9 at 2, 20 and 55%; 235 of 5,158 served in the second after) and passes now, without a change to it. AdmissionTests passes unchanged.

--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -5,10 +5,10 @@
 
 namespace Vanillaridge {
 
-/// Starts at the ceiling, which is what the backend server declared, and goes below it only on evidence: overload
-/// signals, or a latency above its baseline together with a trial that shows that it falls when fewer run at once.
-/// A longer latency alone is no evidence, since a server may simply have slower work to do.
-/// Not safe for several threads; its gate's lock protects it.
+/// Starts at the ceiling, which is what the backend server declared, and goes below it only where a trial shows that it
+/// does better when fewer run at once: that it rejects fewer of its requests, or answers them sooner. Neither
+/// rejections nor a longer latency alone are evidence, since a server may reject a share of all requests, or have
+/// slower work to do, however few run. Not safe for several threads; its gate's lock protects it.
 class ConcurrencyLimit {
 public:
     /// Ceiling, and how the backend server may be ramped up after a cold start.
@@ -24,17 +24,44 @@
     struct Window {
         Instant since;
         uint32_t ends { 0 };
-        uint32_t overloads { 0 };
+        uint32_t rejections { 0 };
         Duration latencySum { 0 };
-        uint32_t leastRunningAtOverload { 0 };
+        uint32_t leastRunningAtRejection { 0 };
         uint32_t saturatedUpdates { 0 };
         uint32_t updates { 0 };
     };
+    // What may speak for a lower limit.
+    enum class Signal : uint8_t { Rejections, Latency };
     enum class Trial : uint8_t { None, Settling, Measuring };
+    // How a signal is measured, where less is better, and judged.
+    struct SignalRow {
+        double (ConcurrencyLimit::*measured)() const;
+        bool (ConcurrencyLimit::*isSuspicious)() const;
+        double (ConcurrencyLimit::*limitForTrial)(Instant) const;
+        // Share of what was measured before to which a trial has to bring it.
+        double shareAfterTrial;
+        LimitCause cause;
+    };
+    // When a signal may be tried again, and what a lower limit did not better.
+    struct Findings {
+        Instant nextTrial;
+        Duration pause { 0 };
+        double unexplained { 0 };
+    };
+    static const std::array<SignalRow, 2> signals;
+
+    double rejectionOdds() const;
+    double meanLatency() const;
+    bool rejectsMany() const;
+    bool takesLong() const;
+    double limitWithoutRejections(Instant) const;
+    double limitSlightlyLower(Instant) const;
 
     void closeWindow(Instant);
-    void judgeTrial(Instant, Duration latency);
-    void startTrial(Duration latency);
+    void noteBaseline();
+    Findings& findingsOf(Signal signal) { return m_findings[static_cast<size_t>(signal)]; }
+    bool startTrial(Instant, Signal);
+    void judgeTrial(Instant);
     void grow(double factor);
 
     double m_ceiling { 1 };
@@ -42,13 +69,13 @@
     Instant m_coldSince;
     Duration m_slowStart { 0 };
     Window m_window;
-    Duration m_baseline { 0 };
-    Instant m_overloadedAt;
+    double m_baseline { 0 }; // seconds
+    Instant m_rejectedAt;
+    std::array<Findings, 2> m_findings;
     Trial m_trial { Trial::None };
+    Signal m_tried { Signal::Rejections };
     double m_limitBeforeTrial { 0 };
-    Duration m_latencyBeforeTrial { 0 };
-    Instant m_nextTrial;
-    Duration m_trialPause { 0 };
+    double m_measuredBeforeTrial { 0 };
     LimitReport m_report;
 };
 
