Remember an attempt until nobody can ask for it, not for 30 s after its end

What callers saw: a node that passed on more than 3,333 attempts a second in the mean of 30 s answered memory-full to whatever came, running requests' calls as well as new work, until the attempts of its heaviest seconds were forgotten.

Cause: finished attempts were remembered for 30 s, 100,000 at most. What has to be remembered follows from how late a message or a verdict query may come, which is bounded by the sender's deadline, and not from a count.

An attempt is now remembered until 5 s after the deadline that its message carried. The verdict query carries the same, so that the guard knows when it may have forgotten and says Unknown. The bound in number stays as a protection of memory; from nine tenths of it on new work is refused, so that running requests still get their calls.

The check that an attempt is forgotten moved from 31 to 33 s after it came, since its memory of 30 s in that test now counts from its deadline, 2 s later; that it is still remembered at 31 s is checked in addition.

--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -96,8 +96,6 @@
 
 bool Gate::isNeverShed(const RequestContext&) const { return false; }
 
-bool Gate::isNewWork(const RequestContext& context) { return context.parentKnown && context.depth == 1; }
-
 Gate::Place Gate::placeByWorth(const RequestContext& context)
 {
     const double order = context.parentKnown ? m_budget.order(context.rank, context.account, context.treeHash) : 0;
--- a/src/admission/Gate.h
+++ b/src/admission/Gate.h
@@ -80,7 +80,6 @@
     bool isNeverShed(const RequestContext&) const;
     Place placeByWorth(const RequestContext&);
     Place placeByArrival(const RequestContext&);
-    static bool isNewWork(const RequestContext&);
     bool isDroppedUnlessCritical(const Ticket&, Instant);
     bool isDroppedAtLimit(const Ticket&, Instant);
     bool isDroppedByDelay(const Ticket&, Instant);
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -156,7 +156,7 @@
 struct VerdictRecord {
     AttemptState state { AttemptState::Waiting };
     Instant deadline;
-    /// When it may be forgotten; meaningless while it waits or runs.
+    /// When it may be forgotten, unless it runs.
     Instant forgetAt;
     bool cancelled { false };
 };
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -22,6 +22,8 @@
 
 } // namespace
 
+bool isNewWork(const RequestContext& context) { return context.parentKnown && context.depth == 1; }
+
 double sheddingHeight(const RequestContext& context)
 {
     return topOf(context.rank, context.depth) - unitOfHash(context.treeHash);
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -59,6 +59,8 @@
     bool parentKnown { true };
 };
 
+/// Whether nothing has been done for it yet: a caller's request, not a call of one that runs.
+bool isNewWork(const RequestContext&);
 /// Where a request stands among those that may be shed, from 0 (shed first) to rankCount: it is shed while it stands
 /// below the shed level. Ranks go by whole steps; inside a rank the stable hash decides, so that the same whole
 /// requests survive on every node. Calls of requests that run stand a little higher, since what has been done for them
@@ -133,8 +135,10 @@
     AttemptId attempt;
     /// The run of the guard that the attempt was sent to.
     BootId guard;
-    /// `sentAt` of the attempt's OpenRequest. A guard says nothing of attempts older than its memory.
+    /// `sentAt` of the attempt's OpenRequest, and how long its sender's deadline was away then. A guard says nothing of
+    /// attempts that it may have forgotten.
     Duration openedAt { 0 };
+    Duration remaining { 0 };
 };
 
 enum class VerdictKind : uint8_t { NotStarted, Started, Unknown };
--- a/src/verdict/EntryLedger.cpp
+++ b/src/verdict/EntryLedger.cpp
@@ -115,7 +115,7 @@
     std::optional<VerdictQuery> query;
     m_board.entries().visit(attempt.request, [&](const EntryRecord& record) {
         if (isPresent(record, attempt) && record.state == EntryState::Asking)
-            query = VerdictQuery { attempt, record.guard, record.openedAt };
+            query = VerdictQuery { attempt, record.guard, record.openedAt, record.deadline - Instant(record.openedAt) };
     });
     return query;
 }
--- a/src/verdict/GuardLedger.cpp
+++ b/src/verdict/GuardLedger.cpp
@@ -1,9 +1,15 @@
 #include "verdict/Verdict.h"
 
+#include <cmath>
+
 namespace Vanillaridge {
 
 namespace {
 
+    // Share of the bound on remembered attempts from which on new work is refused, so that running requests still get
+    // their calls.
+    constexpr double shareForNewWork = 0.9;
+
     // Whether the attempt belongs to a request that entered at this run of this node.
     bool isOwn(const AttemptId& attempt, const Hello& sender)
     {
@@ -26,9 +32,10 @@
 Duration GuardLedger::barredMemory() const { return m_limits.maximumOpenAge; }
 
 // Counts one more record, if there is room: what is remembered is never given up for something new.
-bool GuardLedger::reserve()
+bool GuardLedger::reserve(double share)
 {
-    if (m_remembered.fetch_add(1, std::memory_order_relaxed) < m_limits.attempts)
+    const auto bound = static_cast<size_t>(std::ceil(share * static_cast<double>(m_limits.attempts)));
+    if (m_remembered.fetch_add(1, std::memory_order_relaxed) < bound)
         return true;
     release(1);
     return false;
@@ -36,11 +43,17 @@
 
 void GuardLedger::release(size_t records) { m_remembered.fetch_sub(records, std::memory_order_relaxed); }
 
+// Whether an attempt that had this long when it was sent, so long ago, may have run and be forgotten.
+bool GuardLedger::mayBeForgotten(Duration age, Duration remaining) const
+{
+    return age >= remaining + m_limits.memoryAfterDeadline;
+}
+
 // Why an open request of this age is not taken. One that is older than our memory may be a repeat of an attempt that
 // ran and is forgotten, so nothing can be said about it.
 Reason GuardLedger::refusalForAge(Duration age, Duration remaining) const
 {
-    if (age >= m_limits.finishedMemory)
+    if (mayBeForgotten(age, remaining))
         return Reason::Timeout;
     if (age >= m_limits.maximumOpenAge)
         return Reason::MessageTooOld;
@@ -69,11 +82,12 @@
         const Reason reason = refusalForAge(age, context.remaining);
         if (reason == Reason::Timeout)
             return reason;
-        if (!reserve())
+        if (!reserve(isNewWork(context) ? shareForNewWork : 1))
             return Reason::MemoryFull;
         deadline = now + context.remaining - age;
         const auto state = reason == Reason::None ? AttemptState::Waiting : AttemptState::Barred;
-        map.emplace(context.attempt, VerdictRecord { state, deadline, now + barredMemory(), false });
+        const auto forgetAt = now + context.remaining + m_limits.memoryAfterDeadline;
+        map.emplace(context.attempt, VerdictRecord { state, deadline, forgetAt, false });
         return reason;
     });
     if (refusal != Reason::None)
@@ -110,14 +124,12 @@
 
 void GuardLedger::finish(const AttemptId& id)
 {
-    const Instant forgetAt = m_clock.now() + m_limits.finishedMemory;
     bool finished = false;
     m_board.verdicts().visit(id, [&](VerdictRecord& record) {
         finished = record.state == AttemptState::Started;
         if (!finished)
             return;
         record.state = AttemptState::Finished;
-        record.forgetAt = forgetAt;
     });
     if (finished)
         m_board.attempts().erase(id);
@@ -179,7 +191,7 @@
     const bool barred = m_board.verdicts().with(query.attempt, [&](auto& map) {
         const Instant now = m_clock.now();
         isKnown = map.contains(query.attempt);
-        if (isKnown || senderClock.ageBound(query.openedAt, now) >= m_limits.finishedMemory)
+        if (isKnown || mayBeForgotten(senderClock.ageBound(query.openedAt, now), query.remaining))
             return false;
         map.emplace(query.attempt, VerdictRecord { AttemptState::Barred, {}, now + barredMemory(), false });
         return true;
@@ -192,11 +204,8 @@
 
 void GuardLedger::expire()
 {
-    // An attempt that waits past its deadline can no longer start, nor can its message still be accepted a while later.
     const Instant now = m_clock.now();
     const size_t forgotten = m_board.verdicts().eraseIf([&](const AttemptId&, const VerdictRecord& record) {
-        if (record.state == AttemptState::Waiting)
-            return record.deadline + barredMemory() <= now;
         return record.state != AttemptState::Started && record.forgetAt <= now;
     });
     release(forgotten);
--- a/src/verdict/Verdict.h
+++ b/src/verdict/Verdict.h
@@ -38,9 +38,11 @@
 struct GuardLimits {
     /// An OpenRequest whose age bound exceeds this is refused. Whatever is barred is remembered for longer.
     Duration maximumOpenAge { seconds(5) };
-    /// How long a finished attempt is remembered, after which its verdict is Unknown.
-    Duration finishedMemory { seconds(30) };
-    /// Attempts remembered at most, running ones included. At the bound new ones are refused; none is forgotten early.
+    /// How long an attempt is remembered after its sender's deadline, in case its message or a query is late. After
+    /// that its verdict is Unknown.
+    Duration memoryAfterDeadline { seconds(5) };
+    /// Attempts remembered at most, running ones included. None is forgotten early. Close to the bound new work is
+    /// refused, and at it the calls of running requests as well.
     size_t attempts { 100'000 };
 };
 
@@ -89,7 +91,8 @@
     VerdictKind stop(const AttemptId&, bool cancelled);
     VerdictKind judge(const VerdictQuery&, const PeerClock&);
     Reason refusalForAge(Duration age, Duration remaining) const;
-    bool reserve();
+    bool mayBeForgotten(Duration age, Duration remaining) const;
+    bool reserve(double share = 1);
     void release(size_t records);
     Duration barredMemory() const;
 
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -98,8 +98,8 @@
 
 template <typename Archive> void serialize(Archive& archive, VerdictQuery& message)
 {
-    auto& [attempt, guard, openedAt] = message;
-    archive(attempt, guard, openedAt);
+    auto& [attempt, guard, openedAt, remaining] = message;
+    archive(attempt, guard, openedAt, remaining);
 }
 
 template <typename Archive> void serialize(Archive& archive, VerdictReply& message)
--- a/tests/VerdictTests.cpp
+++ b/tests/VerdictTests.cpp
@@ -33,7 +33,8 @@
     Reason accept(const OpenRequest& message) { return ledger.accept(message, entry, entryClock); }
     VerdictKind ask(const OpenRequest& message, const Hello& sender = entry)
     {
-        return ledger.verdict({ message.context.attempt, guardBoot, message.sentAt }, sender, entryClock).kind;
+        const VerdictQuery query { message.context.attempt, guardBoot, message.sentAt, message.context.remaining };
+        return ledger.verdict(query, sender, entryClock).kind;
     }
 };
 
@@ -102,6 +103,9 @@
     BOOST_TEST((ask(message) == VerdictKind::Started));
     clock.advance(seconds(31));
     ledger.expire();
+    BOOST_TEST((ask(message) == VerdictKind::Started));
+    clock.advance(seconds(2));
+    ledger.expire();
     BOOST_TEST((ask(message) == VerdictKind::Unknown));
 }
 
@@ -129,7 +133,8 @@
 BOOST_AUTO_TEST_CASE(ThenNothingIsSaidOfAnotherRunOrToAnotherNode)
 {
     const auto message = open(1);
-    BOOST_TEST((ledger.verdict({ attempt, { 8 }, message.sentAt }, entry, entryClock).kind == VerdictKind::Unknown));
+    BOOST_TEST((ledger.verdict({ attempt, { 8 }, message.sentAt, seconds(2) }, entry, entryClock).kind
+        == VerdictKind::Unknown));
     BOOST_TEST((ask(message, { "127.0.0.1:7009", { 1 }, {}, 1 }) == VerdictKind::Unknown));
     BOOST_TEST((ask(message, { entry.endpoint, { 2 }, {}, 1 }) == VerdictKind::Unknown));
     BOOST_TEST((accept(message) == Reason::None));
@@ -151,6 +156,44 @@
     BOOST_TEST((accept(open(3)) == Reason::None));
 }
 
+BOOST_AUTO_TEST_CASE(ThenNewWorkIsRefusedBeforeCallsOfRunningRequests)
+{
+    GuardLedger nearlyFull(board, clock, { seconds(5), seconds(5), 10 });
+    uint64_t sequence = 0;
+    const auto offer = [&](uint32_t depth) {
+        auto message = open(++sequence);
+        message.context.depth = depth;
+        return nearlyFull.accept(message, entry, entryClock);
+    };
+    while (sequence < 9)
+        BOOST_TEST((offer(1) == Reason::None));
+    BOOST_TEST((offer(1) == Reason::MemoryFull));
+    BOOST_TEST((offer(2) == Reason::None));
+    BOOST_TEST((offer(2) == Reason::MemoryFull));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAttemptsComeAsFastAsItsProcessorCanPassThemOn)
+
+BOOST_AUTO_TEST_CASE(ThenNoneIsRefusedForWhatIsRemembered)
+{
+    // Half a core, at a tenth of a millisecond for each attempt.
+    constexpr uint64_t attemptsPerSecond = 5000;
+    GuardLedger busy(board, clock);
+    size_t refused = 0;
+    for (uint64_t sequence = 1; sequence <= 40 * attemptsPerSecond; ++sequence) {
+        const auto message = open(sequence, seconds(1));
+        refused += busy.accept(message, entry, entryClock) != Reason::None;
+        busy.start(message.context.attempt);
+        busy.finish(message.context.attempt);
+        clock.advance(Duration(seconds(1)) / attemptsPerSecond);
+        if (sequence % attemptsPerSecond == 0)
+            busy.expire();
+    }
+    BOOST_TEST(refused == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
