Retry callers' requests before calls that are few of many

What callers saw: while the deepest service rejected 55% of what it was sent, pre-flight briefings, which need one answer of it, were rejected nearly as often as bookings, which need ten and hardly ever got them all.

Cause: the retries that a service's budget allows went to whichever call was rejected first. Of its calls one in twenty is a caller's request, so nearly all retries went to requests that could not be saved by one.

Of the reserve of five retries two are now kept for callers' requests. Where rejections are few the reserve is full and all are retried, as before.

--- a/src/retry/Retry.cpp
+++ b/src/retry/Retry.cpp
@@ -9,6 +9,8 @@
 
     // Retries that a service's budget holds at most, and after a quiet time.
     constexpr double reserveTokens = 5;
+    // Of these, kept for callers' requests: a call helps only if all others of its request are answered as well.
+    constexpr double keptFromCalls = 2;
     // Wait before the first retry; doubled for each further one.
     constexpr Duration firstDelay = milliseconds(5);
     constexpr Duration longestDelay = milliseconds(200);
@@ -76,28 +78,34 @@
         return configuration ? configuration->policy() : Policy {};
     }
 
-    bool takeToken(std::string_view service)
+    bool takeToken(std::string_view service, double kept)
     {
-        return budgets.update(ServiceName(service), [](ServiceBudget& budget) {
-            if (budget.tokens < 1)
+        return budgets.update(ServiceName(service), [kept](ServiceBudget& budget) {
+            if (budget.tokens < 1 + kept)
                 return false;
             budget.tokens -= 1;
             return true;
         });
     }
 
+    // A retry taken out of an entry's budget.
+    struct EntryRetry {
+        uint32_t number { 0 };
+        bool isNewWork { true };
+    };
+
     // What may be spent is looked at first, without the service's budget, which has a lock of its own.
-    std::optional<uint32_t> takeFromEntry(const RequestId& id, Reason reason)
+    std::optional<EntryRetry> takeFromEntry(const RequestId& id, Reason reason)
     {
-        std::optional<uint32_t> number;
+        std::optional<EntryRetry> taken;
         board.entries().visit(id, [&](EntryRecord& entry) {
             if (!entry.context.retriesLeft || retriedBelow(entry, reason) || !retryHelps(entry, reason))
                 return;
             --entry.context.retriesLeft;
             ++entry.retriesUsed;
-            number = ++entry.retriesHere;
+            taken = EntryRetry { ++entry.retriesHere, isNewWork(entry.context) };
         });
-        return number;
+        return taken;
     }
 
     void putBackIntoEntry(const RequestId& id)
@@ -145,14 +153,15 @@
 {
     // 1. The request's own budget.
     auto& counters = m_state->board.counters();
-    const auto number = m_state->takeFromEntry(id, reason);
-    if (!number) {
+    const auto taken = m_state->takeFromEntry(id, reason);
+    if (!taken) {
         counters.add(Counter::RetriesWithoutBudget);
         return std::nullopt;
     }
 
     // 2. The service's.
-    if (m_state->strategy == RetryStrategy::Budget && !m_state->takeToken(service)) {
+    const double kept = taken->isNewWork ? 0 : keptFromCalls;
+    if (m_state->strategy == RetryStrategy::Budget && !m_state->takeToken(service, kept)) {
         m_state->putBackIntoEntry(id);
         counters.add(Counter::RetriesWithoutBudget);
         return std::nullopt;
@@ -161,7 +170,7 @@
     // 3. Granted.
     counters.add(Counter::RetriesSpent);
     counters.addRetry(reason);
-    return RetryGrant { *number, m_state->delayBefore(*number) };
+    return RetryGrant { taken->number, m_state->delayBefore(taken->number) };
 }
 
 // While an attempt is under way nobody retries here, so the budget goes with it, but for one retry: an attempt that is
--- a/src/retry/Retry.h
+++ b/src/retry/Retry.h
@@ -4,7 +4,8 @@
 /// attempt is under way all but one of the entry's retries are lent to it and lie in AttemptRecord::context.retriesLeft
 /// at the guard; each call that the backend server makes takes its share from there into its own entry, and gives back
 /// what it did not use. With R retries per request, depth d and retry fraction p, a service at depth d gets at most
-/// min(1 + R, (1 + p)^d) tries per first try, beside the constant reserve of each bucket.
+/// min(1 + R, (1 + p)^d) tries per first try, beside the constant reserve of each bucket. While a service rejects more
+/// than its budget can retry, callers' requests go before calls of requests that run.
 #pragma once
 
 #include "board/Board.h"
--- a/tests/RetryTests.cpp
+++ b/tests/RetryTests.cpp
@@ -224,6 +224,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAServiceRejectsMoreThanItsBudgetCanRetry)
+
+BOOST_AUTO_TEST_CASE(ThenCallersRequestsAreRetriedBeforeCallsThatAreFewOfMany)
+{
+    // One in twenty is a caller's request, which needs nothing else; the others are calls of requests that need ten.
+    Fixture fixture;
+    uint32_t rejected = 0;
+    uint32_t retried = 0;
+    for (int i = 0; i < 4000; ++i) {
+        const bool isCall = fixture.random->unit() >= 0.05;
+        const auto id = fixture.enter(1);
+        fixture.board.entries().visit(id, [&](EntryRecord& entry) { entry.context.depth = isCall ? 2 : 1; });
+        fixture.retry.noteFirstTry("briefings");
+        if (fixture.random->unit() < 0.45)
+            continue;
+        const bool granted = fixture.retry.mayRetry(id, "briefings", Reason::ServerBusy).has_value();
+        rejected += !isCall;
+        retried += !isCall && granted;
+    }
+    BOOST_TEST(retried >= 0.95 * rejected);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenACallerIsToldToComeBack)
 
 BOOST_AUTO_TEST_CASE(ThenTheTimeGrowsWithRefusalsAndVaries)
