Compare waste with no edge shedding over the whole case, by 0.3 for both deployments again

The stated target (3% of all work wasted, docs/design/overload.md) is that of the whole case, so that is where the comparison belongs: 0.03 and 0.3 for both deployments. The short run keeps its bound of 0.05.

--- a/tests/OverloadTests.cpp
+++ b/tests/OverloadTests.cpp
@@ -54,9 +54,16 @@
         BOOST_TEST(result.recovery <= 2);
         // The sudden doubling takes a larger part of this short run than of the whole case, which is bound to 0.03.
         BOOST_TEST(result.wasted <= 0.05);
-        // Under fairness first the guards of the run without edge shedding let running requests end, and waste less.
-        const double share = deployment == Deployment::SaengChai ? 0.5 : 0.3;
-        BOOST_TEST(result.wasted < share * runOverload(overload, noEdge).wasted);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenOverTheWholeCaseADeepChainWastesLittleBesideOneWithoutEdgeShedding)
+{
+    for (const auto deployment : deployments) {
+        const OverloadCase overload { .name = "", .deployment = deployment, .depth = 5 };
+        const auto result = runOverload(overload, adaptive);
+        BOOST_TEST(result.wasted <= 0.03);
+        BOOST_TEST(result.wasted < 0.3 * runOverload(overload, noEdge).wasted);
     }
 }
 
