--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -39,8 +39,6 @@
     // Share of the ceiling that a backend server starts with after a cold start.
     constexpr double coldFraction = 0.2;
 
-    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 // Rows in the order of Signal.
--- a/src/admission/Gate.cpp
+++ b/src/admission/Gate.cpp
@@ -29,12 +29,6 @@
     constexpr Duration retryAfterPerLevel = seconds(2);
     constexpr double retryAfterJitter = 0.5;
 
-    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-    Duration fromSeconds(double value)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-    }
-
     // Calls to open routes come for all accounts, and are not one large account.
     double levelFor(const ShedBudget& budget, std::string_view account)
     {
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -29,6 +29,13 @@
 /// Whole milliseconds of a time, as logs and messages tell it.
 constexpr int64_t inMilliseconds(Duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); }
 
+/// Seconds with their fraction, for calculations.
+constexpr double inSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+constexpr Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
 /// A clock that also runs while the machine or the process is suspended (CLOCK_BOOTTIME), so that a lease or a token
 /// never outlives its term in the eyes of a process that was paused.
 struct BootClock {
--- a/src/entry/CallTracer.cpp
+++ b/src/entry/CallTracer.cpp
@@ -23,8 +23,6 @@
     // Counts are halved at this many calls.
     constexpr double callsRemembered = 512;
 
-    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 CallTracer::CallTracer(Board& board, const Clock& clock, RandomSource& random)
--- a/src/node/Report.cpp
+++ b/src/node/Report.cpp
@@ -106,7 +106,6 @@
         static_cast<double>(board.entries().size()));
     appendGauge(text, "running_attempts", "attempts at backend servers beside this node",
         static_cast<double>(board.attempts().size()));
-    const auto inSeconds = [](Duration time) { return std::chrono::duration<double>(time).count(); };
     appendGauge(text, "remembered_attempts", "attempts whose verdict may still be asked for",
         static_cast<double>(board.verdicts().size()));
     appendGauge(text, "configuration_age_seconds", "time since the configuration was last confirmed",
--- a/src/quota/Bucket.cpp
+++ b/src/quota/Bucket.cpp
@@ -11,8 +11,6 @@
     constexpr Duration shortestRetry = milliseconds(50);
     constexpr Duration longestRetry = seconds(2);
 
-    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 Bucket::Bucket(const QuotaPlan& plan, Instant start)
--- a/src/quota/Strategy.cpp
+++ b/src/quota/Strategy.cpp
@@ -13,13 +13,6 @@
     // Smallest burst that lets a whole token come together while its parts are on their way.
     constexpr double wholeToken = 1.0;
 
-    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
-    Duration fromSeconds(double value)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-    }
-
     // Tokens live no longer than leaves a whole token at the slots, and most of the burst.
     Duration validityOf(const ClientAccount& account, double share, Duration longest)
     {
--- a/src/quota/Tokens.cpp
+++ b/src/quota/Tokens.cpp
@@ -12,8 +12,6 @@
     constexpr Duration fastSmoothing = milliseconds(500);
     constexpr Duration slowSmoothing = seconds(4);
 
-    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 void Pools::Demand::add(double requests, Instant now)
