--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -2,9 +2,11 @@
 #include "platform/OperatorConfiguration.h"
 #include "platform/PlatformDialect.h"
 
+#include <array>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
+#include <unistd.h>
 
 using namespace Vanillaridge;
 
@@ -37,6 +39,56 @@
     return { std::move(method), std::move(target), std::move(headers), false, {} };
 }
 
+// The configuration above with another type for its first route.
+std::string configurationWithRouteType(std::string_view type)
+{
+    auto value = json::parse(configuration).as_object();
+    value["routes"].as_array()[0].as_object()["route-type"] = type;
+    return json::serialize(value);
+}
+
+// Collects what the process writes to standard output.
+class OutputCapture {
+public:
+    OutputCapture()
+    {
+        BOOST_REQUIRE(::pipe(m_ends.data()) == 0);
+        m_output = ::dup(STDOUT_FILENO);
+        ::dup2(m_ends[1], STDOUT_FILENO);
+        ::close(m_ends[1]);
+    }
+    ~OutputCapture()
+    {
+        restore();
+        ::close(m_ends[0]);
+    }
+    OutputCapture(const OutputCapture&) = delete;
+
+    // Everything up to this text, which must come.
+    std::string readUntil(std::string_view end)
+    {
+        std::string text;
+        std::array<char, 4096> bytes;
+        while (text.find(end) == std::string::npos) {
+            const auto count = ::read(m_ends[0], bytes.data(), bytes.size());
+            if (count <= 0)
+                break;
+            text.append(bytes.data(), static_cast<size_t>(count));
+        }
+        return text;
+    }
+
+private:
+    void restore() const
+    {
+        ::dup2(m_output, STDOUT_FILENO);
+        ::close(m_output);
+    }
+
+    std::array<int, 2> m_ends {};
+    int m_output { -1 };
+};
+
 json::object heartbeat()
 {
     return { { "service", "rides" }, { "address", "10.0.0.9:8080" }, { "zone", "a" }, { "version", "v1" },
@@ -116,6 +168,36 @@
     BOOST_TEST(!readOperatorConfiguration("[]"));
 }
 
+BOOST_AUTO_TEST_SUITE(WhenItDeclaresTheTypeOfARoute)
+
+BOOST_AUTO_TEST_CASE(ThenItTellsWhichRequestsMayRunMoreThanOnce)
+{
+    const std::map<std::string, bool> types { { "idempotent", true }, { "download", true }, { "upload", false },
+        { "non_idempotent", false } };
+    for (const auto& [type, idempotent] : types) {
+        BOOST_TEST_CONTEXT(type)
+        {
+            const auto result = readOperatorConfiguration(configurationWithRouteType(type));
+            BOOST_REQUIRE(result);
+            BOOST_TEST(result.declarations().routes[0].idempotent == idempotent);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenAnUnknownTypeIsLoggedAndItsRequestsRunOnceAtMost)
+{
+    OutputCapture output;
+    const auto result = readOperatorConfiguration(configurationWithRouteType("stream"));
+    const auto line = output.readUntil("treated-as=non_idempotent");
+    BOOST_REQUIRE(result);
+    BOOST_TEST(!result.declarations().routes[0].idempotent);
+    BOOST_TEST(line.find("route-type-unknown") != std::string::npos);
+    BOOST_TEST(line.find("route=look-up") != std::string::npos);
+    BOOST_TEST(line.find("type=stream") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(ThenDamagedBytesNeverDoHarm)
 {
     BOOST_TEST(rc::check("any damage gives declarations or problems", [] {
