Trace calls by the ids that they carry, beside their deadlines

Cause: a call was traced to the request that made it by its deadline alone.

Change: where ids are hierarchical, as in "id.3", the request with the id's longest running prefix is the parent, unless the call would outlive it. An index of the attempts by id on the board replaces the scan for such calls.

Ruled out: an id alone. A call without a deadline, or with a later one than its parent, is not traced by its id, and a caller can only name requests whose ids it knows.

Tests: at four depths, with 400 requests whose deadlines are 3 ms apart and calls with deadlines of their own, each call is traced and none wrongly; contradicting deadlines and ids of no request are no evidence.

--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -57,6 +57,7 @@
     Sharded<RouteName, RouteCallsRecord> routeCalls;
     Sharded<RequestId, EntryRecord> entries;
     Sharded<AttemptId, AttemptRecord> attempts;
+    Sharded<std::string, AttemptId> attemptsByLabel;
     Sharded<AttemptId, VerdictRecord> verdicts;
     Sharded<DuplicateKey, DuplicateRecord> duplicates;
     ConfigurationFacts configuration;
@@ -90,6 +91,8 @@
 
 Sharded<AttemptId, AttemptRecord>& Board::attempts() { return m_facts->attempts; }
 
+Sharded<std::string, AttemptId>& Board::attemptsByLabel() { return m_facts->attemptsByLabel; }
+
 Sharded<AttemptId, VerdictRecord>& Board::verdicts() { return m_facts->verdicts; }
 
 Sharded<DuplicateKey, DuplicateRecord>& Board::duplicates() { return m_facts->duplicates; }
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -83,6 +83,8 @@
     Sharded<RouteName, RouteCallsRecord>& routeCalls();
     Sharded<RequestId, EntryRecord>& entries();
     Sharded<AttemptId, AttemptRecord>& attempts();
+    /// Attempts at the local backend server by the id that their caller gave the request, where it gave one.
+    Sharded<std::string, AttemptId>& attemptsByLabel();
     Sharded<AttemptId, VerdictRecord>& verdicts();
     Sharded<DuplicateKey, DuplicateRecord>& duplicates();
     ConfigurationFacts& configuration();
--- a/src/entry/CallTracer.cpp
+++ b/src/entry/CallTracer.cpp
@@ -24,6 +24,12 @@
     // Evidence is halved whenever it reaches this many calls.
     constexpr double evidenceHalvingCalls = 512;
 
+    CallParent parentFrom(const AttemptRecord& record)
+    {
+        const auto& context = record.context;
+        return { record.deadline, context.rank, context.represents, context.depth, context.treeHash, context.route };
+    }
+
 } // namespace
 
 CallTracer::CallTracer(Board& board, const Clock& clock, RandomSource& random)
@@ -33,36 +39,64 @@
 {
 }
 
-std::optional<TracedCall> CallTracer::trace(
-    std::string_view calledRoute, std::optional<Duration> remaining, Duration readDelay)
+std::optional<TracedCall> CallTracer::trace(const ArrivingCall& call)
 {
+    const auto named = findNamedParent(call);
     std::lock_guard guard(m_lock);
-    auto found = m_evidence.find(calledRoute);
+    auto found = m_evidence.find(call.route);
     if (found == m_evidence.end())
-        found = m_evidence.emplace(calledRoute, Evidence {}).first;
+        found = m_evidence.emplace(call.route, Evidence {}).first;
     auto& evidence = found->second;
-    refreshRunning(refreshPeriod);
 
-    // 1. Match by deadline.
+    // 1. The parent that the call's id names.
+    if (named) {
+        learn(evidence, *named);
+        return TracedCall { *named, true, true };
+    }
+
+    // 2. Match by deadline.
+    refreshRunning(refreshPeriod);
     std::optional<Instant> callDeadline;
-    if (remaining && !m_running.empty()) {
-        callDeadline = m_clock.now() + *remaining;
-        auto matches = findMatches(*callDeadline, readDelay);
+    if (call.remaining && !m_running.empty()) {
+        callDeadline = m_clock.now() + *call.remaining;
+        auto matches = findMatches(*callDeadline, call.readDelay);
         if (matches.parents.empty() && evidence.matchRate() >= minimumRateForRefresh) {
             refreshRunning(refreshPeriodOnMiss);
-            matches = findMatches(*callDeadline, readDelay);
+            matches = findMatches(*callDeadline, call.readDelay);
         }
         learn(evidence, matches);
         if (isReliable(evidence, matches))
             return TracedCall { *matches.parents.front(), true, true };
     }
 
-    // 2. Otherwise sample a parent by the evidence for the called route.
+    // 3. Otherwise sample a parent by the evidence for the called route.
     if (m_running.empty())
         return std::nullopt;
     return sampleParent(evidence, callDeadline);
 }
 
+// The running request whose id the call's id extends, the longest one first, unless the call outlives it.
+std::optional<CallParent> CallTracer::findNamedParent(const ArrivingCall& call) const
+{
+    if (!call.remaining)
+        return std::nullopt;
+    const auto earliest = m_clock.now() + *call.remaining - call.readDelay - callTransitTime - deadlineRounding;
+    std::optional<CallParent> parent;
+    for (auto end = call.label.rfind('.'); end != std::string_view::npos && end > 0 && !parent;
+         end = call.label.rfind('.', end - 1)) {
+        std::optional<AttemptId> attempt;
+        m_board.attemptsByLabel().visit(
+            std::string(call.label.substr(0, end)), [&](const AttemptId& id) { attempt = id; });
+        if (!attempt)
+            continue;
+        m_board.attempts().visit(*attempt, [&](const AttemptRecord& record) {
+            if (record.state == AttemptState::Started && record.deadline >= earliest)
+                parent = parentFrom(record);
+        });
+    }
+    return parent;
+}
+
 void CallTracer::refreshRunning(Duration period)
 {
     const auto now = m_clock.now();
@@ -71,10 +105,8 @@
     m_refreshedAt = now;
     m_running.clear();
     m_board.attempts().forEach([&](const AttemptId&, const AttemptRecord& record) {
-        const auto& context = record.context;
         if (record.state == AttemptState::Started)
-            m_running.push_back(
-                { record.deadline, context.rank, context.represents, context.depth, context.treeHash, context.route });
+            m_running.push_back(parentFrom(record));
     });
     std::ranges::sort(m_running, {}, &CallParent::deadline);
     m_runningByRoute.clear();
@@ -111,15 +143,32 @@
 // Credits each match to the parent's route, minus the matches expected by chance.
 void CallTracer::learn(Evidence& evidence, const Matches& matches)
 {
-    evidence.calls += 1;
     for (const auto* parent : matches.parents)
         evidence.excess[parent->route] += 1;
     for (const auto& [route, expected] : matches.expectedByRoute)
         evidence.excess[RouteName(route)] -= expected;
-    if (evidence.calls < evidenceHalvingCalls)
+    evidence.count();
+}
+
+// A call that names its parent says nothing about how reliable matches by deadline are.
+void CallTracer::learn(Evidence& evidence, const CallParent& named)
+{
+    evidence.named[named.route] += 1;
+    evidence.namedCalls += 1;
+    if (evidence.namedCalls < evidenceHalvingCalls)
         return;
-    evidence.calls /= 2;
-    for (auto& [route, count] : evidence.excess)
+    evidence.namedCalls /= 2;
+    for (auto& [route, count] : evidence.named)
+        count /= 2;
+}
+
+void CallTracer::Evidence::count()
+{
+    calls += 1;
+    if (calls < evidenceHalvingCalls)
+        return;
+    calls /= 2;
+    for (auto& [route, count] : excess)
         count /= 2;
 }
 
@@ -144,10 +193,10 @@
 {
     double total = 0;
     for (const auto& [route, parents] : m_runningByRoute)
-        total += excessOf(evidence, route);
+        total += callsFrom(evidence, route);
     double point = m_random.unit() * total;
     for (const auto& [route, parents] : m_runningByRoute) {
-        point -= excessOf(evidence, route);
+        point -= callsFrom(evidence, route);
         if (total > 0 && point < 0)
             return { sampleOutliving(parents, callDeadline), false, true };
     }
@@ -163,11 +212,14 @@
     return *outliving[m_random.below(outliving.size())];
 }
 
-// Estimated number of calls made by requests of the route, from matches in excess of chance.
-double CallTracer::excessOf(const Evidence& evidence, const RouteName& route)
+// Estimated number of calls made by requests of the route, from named parents and from matches in excess of chance.
+double CallTracer::callsFrom(const Evidence& evidence, const RouteName& route)
 {
-    const auto found = evidence.excess.find(route);
-    return found == evidence.excess.end() ? 0 : std::max(0.0, found->second);
+    const auto countIn = [&](const std::map<RouteName, double>& counts) {
+        const auto found = counts.find(route);
+        return found == counts.end() ? 0 : std::max(0.0, found->second);
+    };
+    return countIn(evidence.excess) + countIn(evidence.named);
 }
 
 } // namespace Vanillaridge
--- a/src/entry/CallTracer.h
+++ b/src/entry/CallTracer.h
@@ -25,20 +25,34 @@
     bool routeKnown { false };
 };
 
-/// A call's deadline is never later than its parent's. Where the parent's deadline is what bounds the call, the two
-/// match and identify the parent. Under load many deadlines lie close together, so a match is accepted only if calls of
-/// the route match clearly more often than expected by chance. The same statistics weight the parent routes of calls
-/// that match no request. Thread-safe.
+/// A call as it arrives.
+struct ArrivingCall {
+    /// The route being called.
+    std::string_view route;
+    /// The id that the call carries; empty if none.
+    std::string_view label;
+    /// Time to the deadline that the call carries.
+    std::optional<Duration> remaining;
+    /// Longest time that the call may have waited in the socket before it was read.
+    Duration readDelay { 0 };
+};
+
+/// A call's deadline is never later than its parent's.
+///
+/// Ids may be hierarchical: a call's id extends the id of the request that makes it by a dot and a suffix. If the id of
+/// a call extends that of a running request whose deadline the call can have, that request is its parent. A caller that
+/// makes up such an id names a request whose id it knows, so it cannot choose the rank of another caller's request.
+///
+/// Otherwise the deadline decides. Where the parent's deadline is what bounds the call, the two match and identify the
+/// parent. Under load many deadlines lie close together, so a match is accepted only if calls of the route match
+/// clearly more often than expected by chance. The same statistics weight the parent routes of calls that match no
+/// request. Thread-safe.
 class CallTracer {
 public:
     CallTracer(Board&, const Clock&, RandomSource&);
 
-    /// \param calledRoute the route being called
-    /// \param remaining time to the deadline that the call carries
-    /// \param readDelay longest time that the call may have waited in the socket before it was read
     /// \return std::nullopt if no request is known to run at a local backend server
-    std::optional<TracedCall> trace(
-        std::string_view calledRoute, std::optional<Duration> remaining, Duration readDelay);
+    std::optional<TracedCall> trace(const ArrivingCall&);
 
 private:
     /// Match statistics of one called route, with decay.
@@ -46,7 +60,11 @@
         double calls { 0 };
         /// Per parent route: matches minus those expected by chance, given the density of nearby deadlines.
         std::map<RouteName, double> excess;
+        /// Calls whose id names their parent, in total and per parent route.
+        double namedCalls { 0 };
+        std::map<RouteName, double> named;
         double matchRate() const;
+        void count();
     };
     /// The running requests whose deadline matches the call's, nearest first, and the number of matches expected by
     /// chance, per route and in total.
@@ -56,13 +74,15 @@
         double expectedByChance { 0 };
     };
 
+    std::optional<CallParent> findNamedParent(const ArrivingCall&) const;
     void refreshRunning(Duration period);
     Matches findMatches(Instant callDeadline, Duration readDelay) const;
     static void learn(Evidence&, const Matches&);
+    static void learn(Evidence&, const CallParent& named);
     static bool isReliable(const Evidence&, const Matches&);
     TracedCall sampleParent(const Evidence&, std::optional<Instant> callDeadline);
     const CallParent& sampleOutliving(std::span<const CallParent* const>, std::optional<Instant> callDeadline);
-    static double excessOf(const Evidence&, const RouteName&);
+    static double callsFrom(const Evidence&, const RouteName&);
 
     Board& m_board;
     const Clock& m_clock;
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -81,7 +81,7 @@
     void inheritFromParent(EntryDecision& decision, const IncomingRequest& request)
     {
         auto& context = decision.context;
-        const auto call = tracer.trace(context.route, request.remaining, request.readDelay);
+        const auto call = tracer.trace({ context.route, request.label, request.remaining, request.readDelay });
         if (!call)
             return;
         board.counters().add(call->parentKnown ? Counter::CallsTraced : Counter::CallsUntraced);
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -28,6 +28,8 @@
     /// Longest time that the request may have waited in the socket before it was read, from the lag of the event loop.
     /// It is deducted from a caller's remaining time, and indicates how overloaded the node's processor is.
     Duration readDelay { 0 };
+    /// The caller's own id for the request; empty if it gave none.
+    std::string_view label {};
 };
 
 /// The entry's decision: the context of an accepted request, or the reason for refusing it.
@@ -58,10 +60,10 @@
     /// shed after other requests of its rank.
     ///
     /// Where accounts are declared, a request to an open route is treated as a call of a local backend server if
-    /// that has running requests. Such a call carries no parent id. If its deadline identifies the parent, it inherits
-    /// that request's rank, tree and depth; otherwise it inherits rank and depth from a running request sampled by the
-    /// evidence for its route. Load reported by downstream services is thus attributed to ranks in proportion to the
-    /// actual calls.
+    /// that has running requests. Such a call carries no parent id. If its own id or its deadline identifies the
+    /// parent, it inherits that request's rank, tree and depth; otherwise it inherits rank and depth from a running
+    /// request sampled by the evidence for its route. Load reported by downstream services is thus attributed to ranks
+    /// in proportion to the actual calls.
     EntryDecision decide(const IncomingRequest&);
     /// Decides on a call that a local backend server makes for a request it is running. Account and importance
     /// are the parent's, and its deadline and retries are upper bounds: the backend server cannot override them.
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -83,6 +83,7 @@
     request.readDelay = m_parts.loopLag.value();
     m_key = std::string(request.key.value_or(""));
     m_label = std::string(m_parts.dialect.labelIn(head.headers));
+    request.label = m_label;
     m_idempotencyKey = std::string(head.header("Idempotency-Key"));
 
     // A key in the target would be passed on, and written into logs on its way.
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -34,6 +34,7 @@
     , m_strand(std::move(strand))
     , m_stream(std::move(stream))
     , m_open(std::move(open))
+    , m_label(parts.dialect.labelIn(m_open.headers))
     , m_timer(m_strand)
     , m_admissionDecided(std::make_shared<Event>())
 {
@@ -54,6 +55,7 @@
     m_acceptedAt = m_parts.clock.now();
     m_deadline = m_acceptedAt + context().remaining;
     m_parts.board.attempts().visit(id(), [&](const AttemptRecord& record) { m_deadline = record.deadline; });
+    enterLabel();
 
     // 2. What the entry sends meanwhile is read on the side.
     startReading();
@@ -69,9 +71,29 @@
         m_call->abort();
         co_await m_bodyDone.wait();
     }
+    removeLabel();
     report();
 }
 
+// Calls that the backend server makes for this attempt may carry an id that extends the label.
+void GuardAttempt::enterLabel()
+{
+    if (!m_label.empty())
+        m_parts.board.attemptsByLabel().update(m_label, [&](AttemptId& attempt) { attempt = id(); });
+}
+
+// A later attempt of the same request may have taken the label over.
+void GuardAttempt::removeLabel()
+{
+    if (m_label.empty())
+        return;
+    m_parts.board.attemptsByLabel().with(m_label, [&](auto& labels) {
+        const auto found = labels.find(m_label);
+        if (found != labels.end() && found->second == id())
+            labels.erase(found);
+    });
+}
+
 // One line for the attempt: what the guard decided, and what decided it.
 void GuardAttempt::report() const
 {
@@ -83,8 +105,7 @@
     if (hasStarted)
         m_parts.latencies.server.record(served);
 
-    const auto given = m_parts.dialect.labelIn(m_open.headers);
-    const auto label = given.empty() ? toText(id()) : std::string(given);
+    const auto label = m_label.empty() ? toText(id()) : m_label;
     const auto kind = m_end == Reason::None ? LogClass::Routine : LogClass::Failure;
     if (!wantsRequestLine(kind, label))
         return;
--- a/src/node/GuardAttempt.h
+++ b/src/node/GuardAttempt.h
@@ -34,6 +34,8 @@
     void watchDeadline();
     void cancel(Reason);
     bool outlives(Reason) const;
+    void enterLabel();
+    void removeLabel();
     void refuse(Reason, bool started, Duration retryAfter = Duration(0));
     void endAdmission(CompletionStatus);
     void report() const;
@@ -47,6 +49,8 @@
     Strand m_strand;
     MessageStreamPointer m_stream;
     OpenRequest m_open;
+    /// The caller's own id for the request; empty if it gave none.
+    std::string m_label;
     /// The backend server's own name for itself.
     std::string m_instance;
     /// What the backend server was sent.
--- a/tests/EntryTests.cpp
+++ b/tests/EntryTests.cpp
@@ -63,6 +63,18 @@
         return entry.decide(request);
     }
 
+    // Makes a call whose id extends that of a request.
+    EntryDecision labelledCall(std::string_view label, Duration remaining)
+    {
+        IncomingRequest request;
+        request.host = "rides.example";
+        request.method = "GET";
+        request.path = "/registry/1";
+        request.remaining = remaining;
+        request.label = label;
+        return entry.decide(request);
+    }
+
     // Makes a call from the local backend server with this remaining time.
     EntryDecision call(Duration remaining, Duration readDelay = Duration(0))
     {
@@ -70,7 +82,8 @@
     }
 
     // Starts a request at the local backend server whose deadline is this far away.
-    void run(uint64_t sequence, const RouteName& route, Importance importance, Duration left = seconds(3))
+    void run(uint64_t sequence, const RouteName& route, Importance importance, Duration left = seconds(3),
+        const std::string& label = {})
     {
         const AttemptId id { { { 9 }, { 9 }, sequence }, 1 };
         board.attempts().update(id, [&](AttemptRecord& record) {
@@ -83,6 +96,8 @@
             record.context.rank = Rank::of(importance);
             record.context.represents = 3;
         });
+        if (!label.empty())
+            board.attemptsByLabel().update(label, [&](AttemptId& attempt) { attempt = id; });
     }
 
     ManualClock clock;
@@ -228,6 +243,58 @@
     BOOST_TEST(toUploads <= 75);
 }
 
+BOOST_AUTO_TEST_SUITE(AndItsIdExtendsThatOfARunningRequest)
+
+BOOST_AUTO_TEST_CASE(ThenEachCallIsTracedAtEveryDepth)
+{
+    // Hundreds run, their deadlines milliseconds apart, and calls are made together with deadlines of their own.
+    constexpr uint64_t running = 400;
+    for (const int depth : { 1, 2, 3, 4 }) {
+        Story story;
+        const auto labelOf = [&](uint64_t i) {
+            std::string label = "request-" + std::to_string(i);
+            for (int level = 1; level < depth; ++level)
+                label += "." + std::to_string(level);
+            return label;
+        };
+        for (uint64_t i = 0; i < running; ++i)
+            story.run(i, i % 2 ? "sign" : "look-up", Importance::High, milliseconds(700 + 3 * i), labelOf(i));
+        int traced = 0;
+        int wrong = 0;
+        for (uint64_t i = 0; i < running; ++i) {
+            for (int call = 0; call < 4; ++call) {
+                const auto remaining = std::min(milliseconds(706), milliseconds(700 + 3 * i));
+                const auto decision = story.labelledCall(labelOf(i) + "." + std::to_string(call), remaining);
+                traced += decision.context.parentKnown;
+                wrong += decision.context.parentKnown && decision.context.treeHash != i;
+            }
+        }
+        BOOST_TEST_CONTEXT("depth " << depth)
+        {
+            BOOST_TEST(traced >= int(0.99 * 4 * running));
+            BOOST_TEST(wrong == 0);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenARequestThatEndsBeforeTheCallIsNotItsParent)
+{
+    run(1, "sign", Importance::Critical, milliseconds(600), "one");
+    run(2, "upload", Importance::Low, milliseconds(3000), "two");
+    BOOST_TEST(labelledCall("one.1", milliseconds(600)).context.treeHash == 1u);
+    BOOST_TEST(!labelledCall("one.1", milliseconds(900)).context.parentKnown);
+}
+
+BOOST_AUTO_TEST_CASE(ThenAnIdThatNamesNoRunningRequestIsNoEvidence)
+{
+    for (uint64_t i = 0; i < 30; ++i)
+        run(i, "sign", Importance::High, milliseconds(700 + 3 * i), "request-" + std::to_string(i));
+    for (const std::string_view label : { "request-99.1", "request-1", ".", ".1", "", "request-1x.1" })
+        BOOST_TEST(!labelledCall(label, milliseconds(300)).context.parentKnown);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(ThenARequestThatHasJustStartedIsMatched)
 {
     run(1, "sign", Importance::Critical, milliseconds(600));
