Repeat requests that the backend server rejected beyond their budget for runs, whole requests first

Cause: a call has one retry, so while a service rejects a share of its calls however few run, a request that needs four answers fails although the service's budget has retries left. Those went to whatever call came first.

Change: a rejected request has not run, so a retry after a rejection is charged to the service's budget alone, up to 7 times; once the route allows no further server it goes, after a backoff, to one of those that rejected it. Tokens of the service's bucket are reserved by rank and tree, so that the calls of the same whole requests are repeated. Requests that fail at their first calls make no others, so the budget is filled at the rate of the last seconds (time constant 5 s) while fewer first attempts come.

Ruled out: more retries per request, since runs must stay bounded; the bound on them is unchanged.

Test: ThenTheBudgetCompletesWholeRequestsTheMostImportantFirst plays three kinds of requests through 24 nodes with 0, 20, 55 and 80% rejected: each kind gets 0.8 of what the budget can complete, and repeats stay within it.

--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -136,6 +136,8 @@
     uint32_t retriesBelow { 0 };
     /// Tries after the first made here.
     uint32_t retriesHere { 0 };
+    /// Of those, the ones after the backend server itself had rejected the request unrun.
+    uint32_t retriesAfterRejection { 0 };
     /// Whether the body can be sent once more.
     bool bodyReplayable { true };
     EntryState state { EntryState::Decided };
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "log/Log.h"
 
+#include <boost/asio/redirect_error.hpp>
 #include <fmt/format.h>
 
 namespace Vanillaridge {
@@ -213,14 +214,15 @@
     Reason lastReason = Reason::NoServer;
     Duration retryAfter(0);
     while (true) {
-        // 1. A server that has not been tried.
-        const auto choice = m_parts.control.placement.choose(service(), m_tried);
+        // 1. A server.
+        if (repeatsRejection())
+            co_await pause(m_backoff);
+        const auto choice = chooseServer();
         if (!choice) {
             co_await refuse(lastReason, retryAfter);
             close(row(lastReason).outcome, noStatus);
             co_return;
         }
-        m_tried.push_back(choice->server.node);
 
         // 2. One attempt at it.
         Attempt attempt { *choice, {}, m_parts.clock.now(), 0, std::nullopt, std::nullopt, Duration(0), Reason::None };
@@ -228,6 +230,8 @@
         conclude(attempt);
         const auto ended = attempt.reason != Reason::None ? attempt.reason : decision.reason;
         m_trail.push_back({ attempt.choice.endpoint, ended, m_parts.clock.now() - attempt.sentAt });
+        if (ended == Reason::ServerBusy)
+            m_rejectedBy.push_back(attempt.choice.server.node);
         if (decision.step == NextStep::TryAnotherServer) {
             m_parts.board.counters().add(Counter::RetriesSpent);
             m_parts.board.counters().addRetry(decision.reason);
@@ -253,6 +257,32 @@
     }
 }
 
+// Whether the route allows no further server, so that the next attempt goes to one that rejected the request unrun.
+bool EntryRequest::repeatsRejection() const
+{
+    return !m_rejectedBy.empty() && m_tried.size() > m_decision.route->retries;
+}
+
+// A server that has not been tried, as long as the route allows one.
+std::optional<PlacementChoice> EntryRequest::chooseServer()
+{
+    auto& placement = m_parts.control.placement;
+    if (!repeatsRejection()) {
+        if (auto choice = placement.choose(service(), m_tried)) {
+            m_tried.push_back(choice->server.node);
+            return choice;
+        }
+    }
+    return placement.chooseAmong(service(), m_rejectedBy);
+}
+
+Task<void> EntryRequest::pause(Duration time)
+{
+    boost::asio::steady_timer timer(m_exchange->strand(), time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(useAwaitable, ignored));
+}
+
 Task<Decision> EntryRequest::makeAttempt(Attempt& attempt)
 {
     auto& control = m_parts.control;
@@ -410,7 +440,9 @@
         return false;
     if (m_parts.clock.now() >= m_decision.deadline)
         return false;
-    return m_parts.control.retry.acquireRetry(id(), service(), reason).has_value();
+    const auto grant = m_parts.control.retry.acquireRetry(id(), service(), reason);
+    m_backoff = grant ? grant->delay : Duration(0);
+    return grant.has_value();
 }
 
 // Tells placement how the attempt went.
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -43,6 +43,9 @@
 
     // Attempts.
     Task<void> serve();
+    std::optional<PlacementChoice> chooseServer();
+    bool repeatsRejection() const;
+    Task<void> pause(Duration);
     Task<Decision> makeAttempt(Attempt&);
     Task<Decision> awaitAnswer(Attempt&);
     Task<Decision> passAnswer(Attempt&, AnswerHead);
@@ -91,6 +94,10 @@
     std::shared_ptr<RequestBody> m_body;
     MessageStreamPointer m_stream;
     std::vector<NodeId> m_tried;
+    /// Of those, the ones whose backend server rejected the request unrun.
+    std::vector<NodeId> m_rejectedBy;
+    /// Time to wait before the next attempt.
+    Duration m_backoff { 0 };
 };
 
 } // namespace Vanillaridge
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -360,6 +360,23 @@
     return choice;
 }
 
+std::optional<PlacementChoice> Placement::chooseAmong(std::string_view service, std::span<const NodeId> nodes)
+{
+    const auto slowStart = m_state->slowStartOf(service);
+    std::optional<PlacementChoice> choice;
+    m_state->board.servers().visit(ServiceName(service), [&](ServerGroup& group) {
+        auto candidates = m_state->eligibleServers(group, {});
+        std::erase_if(candidates, [&](const Candidate& candidate) {
+            return std::find(nodes.begin(), nodes.end(), candidate.node) == nodes.end();
+        });
+        const auto best = std::ranges::min_element(
+            candidates, {}, [&](const Candidate& candidate) { return m_state->load(*candidate.record, slowStart); });
+        if (best != candidates.end())
+            choice = { { best->node, ServiceName(service) }, best->record->endpoint };
+    });
+    return choice;
+}
+
 void Placement::callStarted(const PlacementChoice& choice)
 {
     m_state->board.servers().visit(choice.server.service, [&](ServerGroup& group) {
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -47,6 +47,9 @@
 
     /// A backend server of the service that is not in `tried`; nullopt when there is none.
     std::optional<PlacementChoice> choose(std::string_view service, std::span<const NodeId> tried);
+    /// The least loaded of these servers of the service that still takes requests; nullopt when there is none. For
+    /// another attempt at servers that rejected a request unrun.
+    std::optional<PlacementChoice> chooseAmong(std::string_view service, std::span<const NodeId> nodes);
     /// Counts a request as outstanding at the chosen server. `callCompleted` must follow exactly once.
     void callStarted(const PlacementChoice&);
     /// Records the completion of a call, and the load and shed level that it reported.
--- a/src/retry/Retry.cpp
+++ b/src/retry/Retry.cpp
@@ -10,7 +10,12 @@
     // Capacity of a service's token bucket, which starts full.
     constexpr double bucketCapacity = 5;
     // Tokens reserved for callers' requests: a retried call helps only if all other calls of its request succeed too.
-    constexpr double tokensReservedForCallers = 2;
+    constexpr double tokensReservedForCallers = 1;
+    // Further tokens that the calls of the least important tree leave to others; those of more important ones leave
+    // proportionally fewer.
+    constexpr double tokensReservedByHeight = bucketCapacity - 1 - tokensReservedForCallers;
+    // Repeats of a request that the backend server rejects: enough for 99 in 100 where it rejects half of them.
+    constexpr uint32_t maximumRetriesAfterRejection = 7;
     // Backoff before the first retry, doubled for each further one up to the maximum.
     constexpr Duration initialBackoff = milliseconds(5);
     constexpr Duration maximumBackoff = milliseconds(200);
@@ -22,6 +27,10 @@
     // itself.
     constexpr double targetLatencyFraction = 0.4;
     constexpr double targetJitterFraction = 0.25;
+    // Time constant of the rate of first attempts that a service's budget is derived from when fewer come than before,
+    // and the period in which that is made up for.
+    constexpr double rateTimeConstant = 5; // seconds
+    constexpr Duration topUpPeriod = seconds(1);
     // Half-life of the counts of first attempts and refusals behind Retry-After.
     constexpr Duration countHalfLife = seconds(2);
 
@@ -32,6 +41,22 @@
         return entry.retriesBelow > 0 && row(reason).outcome != Outcome::NotRun;
     }
 
+    // Whether the backend server itself rejected the request, so that it has not run.
+    bool isRejection(Reason reason) { return reason == Reason::ServerBusy; }
+
+    // Whether the route allows retries at all: the budget, if it has been lent to no attempt, is what it was at first
+    // less what was used.
+    bool mayRetryAtAll(const EntryRecord& entry) { return entry.context.retriesLeft + entry.retriesUsed > 0; }
+
+    // Tokens that a retry leaves in the bucket.
+    double reservedTokens(const RequestContext& context)
+    {
+        if (isNewWork(context))
+            return 0;
+        const double height = std::clamp(sheddingHeight(context) / double(rankCount), 0.0, 1.0);
+        return tokensReservedForCallers + (1 - height) * tokensReservedByHeight;
+    }
+
     // Whether a retry may help and cannot run a non-idempotent request twice.
     bool isRetryable(const EntryRecord& entry, Reason reason)
     {
@@ -51,6 +76,10 @@
         double firstAttempts { 0 };
         double refusals { 0 };
         Instant decayedAt;
+        // First attempts per second, averaged over rateTimeConstant, and those since the last top-up.
+        double slowRate { 0 };
+        double attemptsInPeriod { 0 };
+        Instant toppedUpAt;
     };
 
     State(Board& board, Clock& clock, RandomSource& random, RetryStrategy strategy)
@@ -72,6 +101,23 @@
         budget.decayedAt = now;
     }
 
+    // Requests that fail at their first calls make no others. So that the budget does not shrink with them, it is filled
+    // at the rate of the last seconds for as long as that is higher.
+    static void topUp(ServiceBudget& budget, Instant now, double fraction)
+    {
+        const auto elapsed = now - budget.toppedUpAt;
+        if (elapsed < topUpPeriod)
+            return;
+        const double period = inSeconds(elapsed);
+        const double missing = budget.slowRate * period - budget.attemptsInPeriod;
+        if (elapsed < 2 * topUpPeriod && missing > 0)
+            budget.tokens = std::min(bucketCapacity, budget.tokens + fraction * missing);
+        const double kept = std::exp(-period / rateTimeConstant);
+        budget.slowRate = kept * budget.slowRate + (1 - kept) * budget.attemptsInPeriod / period;
+        budget.attemptsInPeriod = 0;
+        budget.toppedUpAt = now;
+    }
+
     Policy policy() const
     {
         const auto configuration = board.configuration().inForce();
@@ -91,7 +137,7 @@
     // A retry taken from an entry's budget.
     struct EntryRetry {
         uint32_t number { 0 };
-        bool isNewWork { true };
+        double reservedTokens { 0 };
     };
 
     // Checks and charges only the entry's budget; the service's budget is under a different lock and charged
@@ -100,21 +146,39 @@
     {
         std::optional<EntryRetry> taken;
         board.entries().visit(id, [&](EntryRecord& entry) {
-            if (!entry.context.retriesLeft || isRetriedDownstream(entry, reason) || !isRetryable(entry, reason))
+            if (isRetriedDownstream(entry, reason) || !isRetryable(entry, reason) || !charge(entry, reason))
                 return;
-            --entry.context.retriesLeft;
-            ++entry.retriesUsed;
-            taken = EntryRetry { ++entry.retriesHere, isNewWork(entry.context) };
+            taken = EntryRetry { ++entry.retriesHere, reservedTokens(entry.context) };
         });
         return taken;
     }
 
-    void refundToEntry(const RequestId& id)
+    // A retry after a rejection is counted, but not charged to the budget for runs.
+    static bool charge(EntryRecord& entry, Reason reason)
     {
-        board.entries().visit(id, [](EntryRecord& entry) {
+        if (isRejection(reason)) {
+            if (!mayRetryAtAll(entry) || entry.retriesAfterRejection >= maximumRetriesAfterRejection)
+                return false;
+            ++entry.retriesAfterRejection;
+            return true;
+        }
+        if (!entry.context.retriesLeft)
+            return false;
+        --entry.context.retriesLeft;
+        ++entry.retriesUsed;
+        return true;
+    }
+
+    void refundToEntry(const RequestId& id, Reason reason)
+    {
+        board.entries().visit(id, [reason](EntryRecord& entry) {
+            --entry.retriesHere;
+            if (isRejection(reason)) {
+                --entry.retriesAfterRejection;
+                return;
+            }
             ++entry.context.retriesLeft;
             --entry.retriesUsed;
-            --entry.retriesHere;
         });
     }
 
@@ -146,6 +210,8 @@
     m_state->budgets.update(ServiceName(service), [&](State::ServiceBudget& budget) {
         m_state->decay(budget);
         budget.firstAttempts += 1;
+        State::topUp(budget, m_state->clock.now(), fraction);
+        budget.attemptsInPeriod += 1;
         budget.tokens = std::min(bucketCapacity, budget.tokens + fraction);
     });
 }
@@ -162,9 +228,8 @@
     }
 
     // 2. The service's budget.
-    const double reserved = taken->isNewWork ? 0 : tokensReservedForCallers;
-    if (m_state->strategy == RetryStrategy::Budget && !m_state->takeToken(service, reserved)) {
-        m_state->refundToEntry(id);
+    if (m_state->strategy == RetryStrategy::Budget && !m_state->takeToken(service, taken->reservedTokens)) {
+        m_state->refundToEntry(id, reason);
         counters.add(Counter::RetriesWithoutBudget);
         return std::nullopt;
     }
--- a/src/retry/Retry.h
+++ b/src/retry/Retry.h
@@ -6,8 +6,12 @@
 /// held in AttemptRecord::context.retriesLeft at the guard. Each call that the backend server makes takes a share of
 /// these into its own entry and returns what it did not use. With R retries per request, depth d and retry fraction p,
 /// a service at depth d gets at most min(1 + R, (1 + p)^d) attempts per first attempt, plus the fixed capacity of each
-/// token bucket. While a service rejects more than its budget can retry, callers' requests take precedence over calls
-/// made by running requests.
+/// token bucket.
+///
+/// A request that the backend server itself has rejected has not run, and may be repeated beyond R: only the service's
+/// bucket bounds that. While a service rejects more than its budget can retry, callers' requests take precedence over
+/// calls made by running requests, and among those the calls of the same whole requests, by rank and tree: one that
+/// needs several answers completes only if all its rejected calls are repeated.
 #pragma once
 
 #include "board/Board.h"
--- a/tests/RetryTests.cpp
+++ b/tests/RetryTests.cpp
@@ -2,6 +2,8 @@
 #include "retry/Retry.h"
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
 #include <rapidcheck.h>
 
 using namespace Vanillaridge;
@@ -99,6 +101,130 @@
     }
 };
 
+// A kind of request whose calls all reach the deepest service.
+struct RequestKind {
+    Rank rank;
+    // 1: the caller's own request enters the deepest service.
+    uint32_t calls;
+    double perSecond;
+};
+
+// Requests of several kinds whose calls reach a deepest service through many nodes, each with its own budget. The
+// service rejects a share of them, however few run. Calls are made in pairs, and none after one has failed for good.
+class RejectingDepth {
+public:
+    explicit RejectingDepth(double rejected)
+        : m_rejected(rejected)
+        , m_served(kinds.size())
+        , m_made(kinds.size())
+    {
+        for (size_t i = 0; i < nodeCount; ++i)
+            m_nodes.push_back(std::make_unique<Fixture>());
+    }
+
+    static constexpr size_t nodeCount = 24;
+    // In the proportions of a deployment whose nodes make some 25 such calls a second each.
+    static constexpr std::array<RequestKind, 3> kinds { { { Rank::of(Importance::Normal), 8, 52 },
+        { Rank::of(Importance::Critical), 4, 26 }, { Rank::of(Importance::High), 1, 18 } } };
+
+    void run(Duration span)
+    {
+        for (const auto end = m_clock.now() + span; m_clock.now() < end; m_clock.advance(step)) {
+            for (size_t kind = 0; kind < kinds.size(); ++kind) {
+                for (m_due[kind] += kinds[kind].perSecond * inSeconds(step); m_due[kind] >= 1; m_due[kind] -= 1)
+                    begin(kind);
+            }
+            while (!m_events.empty() && m_events.begin()->first <= m_clock.now()) {
+                auto event = std::move(m_events.begin()->second);
+                m_events.erase(m_events.begin());
+                event();
+            }
+        }
+    }
+
+    double servedShare(size_t kind) const { return m_served[kind] / std::max(1.0, m_made[kind]); }
+    double firstCalls() const { return m_firstCalls; }
+    double repeats() const { return m_repeats; }
+
+    // The share of a kind that the budget can complete once the kinds before it in `order` have been.
+    double completable(std::span<const size_t> order, size_t kind) const
+    {
+        const double repeatsPerCall = m_rejected / (1 - m_rejected);
+        double budget = Policy {}.retryFraction * m_firstCalls;
+        for (const auto next : order) {
+            const double needed = m_made[next] * kinds[next].calls * repeatsPerCall;
+            if (next == kind)
+                return needed > 0 ? std::clamp(budget / needed, 0.0, 1.0) : 1;
+            budget -= needed;
+        }
+        return 0;
+    }
+
+private:
+    static constexpr Duration step = milliseconds(1);
+    static constexpr Duration betweenPairs = milliseconds(60);
+
+    struct Running {
+        size_t kind;
+        uint64_t treeHash;
+        uint32_t answered { 0 };
+        bool failed { false };
+    };
+
+    void begin(size_t kind)
+    {
+        m_made[kind] += 1;
+        const auto request = std::make_shared<Running>(Running { kind, m_random->next() });
+        for (uint32_t i = 0; i < kinds[kind].calls; ++i)
+            m_events.emplace(m_clock.now() + (i / 2) * betweenPairs, [this, request] { call(request); });
+    }
+
+    void call(const std::shared_ptr<Running>& request)
+    {
+        if (request->failed)
+            return;
+        auto& node = *m_nodes[m_random->below(nodeCount)];
+        const auto id = node.addEntry(1);
+        const auto& kind = kinds[request->kind];
+        node.board.entries().visit(id, [&](EntryRecord& entry) {
+            entry.context.rank = kind.rank;
+            entry.context.treeHash = request->treeHash;
+            entry.context.depth = kind.calls > 1 ? 2 : 1;
+        });
+        node.retry.countFirstAttempt("rides");
+        m_firstCalls += 1;
+        attempt(request, node, id);
+    }
+
+    void attempt(const std::shared_ptr<Running>& request, Fixture& node, const RequestId& id)
+    {
+        if (m_random->unit() >= m_rejected) {
+            node.board.entries().erase(id);
+            m_served[request->kind] += ++request->answered == kinds[request->kind].calls;
+            return;
+        }
+        const auto grant = node.retry.acquireRetry(id, "rides", Reason::ServerBusy);
+        if (!grant) {
+            node.board.entries().erase(id);
+            request->failed = true;
+            return;
+        }
+        m_repeats += 1;
+        m_events.emplace(m_clock.now() + grant->delay, [this, request, &node, id] { attempt(request, node, id); });
+    }
+
+    const double m_rejected;
+    ManualClock m_clock;
+    std::unique_ptr<RandomSource> m_random { makeSeededRandom(20260401) };
+    std::vector<std::unique_ptr<Fixture>> m_nodes;
+    std::multimap<Instant, std::function<void()>> m_events;
+    std::array<double, kinds.size()> m_due {};
+    std::vector<double> m_served;
+    std::vector<double> m_made;
+    double m_firstCalls { 0 };
+    double m_repeats { 0 };
+};
+
 uint64_t power(uint64_t base, uint32_t exponent) { return exponent ? base * power(base, exponent - 1) : 1; }
 
 } // namespace
@@ -130,6 +256,20 @@
     BOOST_TEST(fixture.retry.acquireRetry(lookUp, "ledger", Reason::ConnectionLost).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(ThenOneThatTheServerRejectedUnrunIsRetriedBeyondItsBudgetForRuns)
+{
+    Fixture fixture;
+    const auto id = fixture.addEntry(1);
+    for (int i = 0; i < 50; ++i)
+        fixture.retry.countFirstAttempt("history");
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(fixture.retry.acquireRetry(id, "history", Reason::ServerBusy).has_value());
+    BOOST_TEST(fixture.retriesLeft(id) == 1u);
+    // Where the route allows no retries, there are none.
+    const auto single = fixture.addEntry(0);
+    BOOST_TEST(!fixture.retry.acquireRetry(single, "history", Reason::ServerBusy));
+}
+
 BOOST_AUTO_TEST_CASE(ThenARefusalForLoadIsNotRetried)
 {
     Fixture fixture;
@@ -247,6 +387,32 @@
     BOOST_TEST(retried >= 0.95 * rejected);
 }
 
+BOOST_AUTO_TEST_CASE(ThenTheBudgetCompletesWholeRequestsTheMostImportantFirst)
+{
+    constexpr size_t many = 0;
+    constexpr size_t critical = 1;
+    constexpr size_t callers = 2;
+    // Callers' own requests take precedence, then rank decides.
+    constexpr std::array<size_t, 3> order { callers, critical, many };
+    for (const double rejected : { 0.0, 0.2, 0.55, 0.8 }) {
+        BOOST_TEST_CONTEXT("rejected " << rejected)
+        {
+            RejectingDepth depth(rejected);
+            depth.run(seconds(30));
+            for (const auto kind : order) {
+                const double target = 0.8 * depth.completable(order, kind);
+                BOOST_TEST_MESSAGE("rejected " << rejected << ", kind " << kind << ": served "
+                                               << depth.servedShare(kind) << ", target " << target);
+                BOOST_TEST(depth.servedShare(kind) >= target);
+            }
+            BOOST_TEST(depth.servedShare(critical) >= depth.servedShare(many));
+            constexpr double reserve = 5;
+            BOOST_TEST(
+                depth.repeats() <= Policy {}.retryFraction * depth.firstCalls() + reserve * RejectingDepth::nodeCount);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenACallerIsGivenARetryAfter)
