Pass over answers that echo the id of another attempt

A backend server that sends a second copy of an answer late, on a connection that is in use again, was taken at its word by our own dialect, which did not compare ids.

--- a/src/dialect/OwnDialect.cpp
+++ b/src/dialect/OwnDialect.cpp
@@ -89,7 +89,12 @@
             headers.push_back({ std::string(remainingHeader), std::to_string(inMilliseconds(terms.remaining)) });
         }
 
-        AnswerKind judge(const RequestHead&, const ReplyHead&) const override { return AnswerKind::Genuine; }
+        // Backend servers may echo the attempt's id. An answer that echoes another one is a late copy.
+        AnswerKind judge(const RequestHead& sent, const ReplyHead& reply) const override
+        {
+            const auto echoed = headerIn(reply.headers, requestHeader);
+            return echoed.empty() || echoed == sent.header(requestHeader) ? AnswerKind::Genuine : AnswerKind::Stray;
+        }
 
         bool isServerNews(const RequestHead& head) const override { return newsRowAt(head.path()); }
 
