Wait for the answer to a write while its guard is silent

Cause: a connection to a node that is paused or cut off for 1.5 to 2 s is given up, and with it every request on it. A write that ran there was answered 502 by its entry, and the guard broke it off at its backend server, although both nodes were back long before its deadline.

Change: a connection that answers no ping counts as silent. It takes no new requests, and requests that may be repeated are given up as before; writes wait on. The entry asks for a verdict over a fresh connection meanwhile, and goes to another server only if the write has not started. A silent connection that is heard again is used on; whoever was given up is told. A write that runs outlives the connection of its entry as it outlives its caller. A watch that comes late, after a pause of its own process, judges nobody by pings from before.

Ruled out: a longer limit for all. Reads are served elsewhere within 2 s of a power loss because of the short one.

--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -2,6 +2,9 @@
 
 #include "log/Log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <fmt/format.h>
 
@@ -306,12 +309,41 @@
         attempt.reason = Reason::CallerGone;
         co_return decision;
     }
+    if (!m_decision.context.idempotent)
+        waitThroughSilence(attempt);
     sendOpen(attempt);
     const auto decision = co_await awaitAnswer(attempt);
     m_stream->close();
     co_return decision;
 }
 
+// A request that cannot be repeated is not given up because its guard is silent for a while. Only if the guard can say
+// that it has not started is the attempt ended, and another server tried.
+void EntryRequest::waitThroughSilence(const Attempt& attempt)
+{
+    m_stream->waitThroughSilence([weak = weak_from_this(), id = attempt.id, guard = attempt.choice.endpoint] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        boost::asio::post(self->m_exchange->strand(), [self, id, guard] {
+            if (self->m_stream)
+                boost::asio::co_spawn(
+                    self->m_exchange->strand(), askWhileSilent(self, self->m_stream, id, guard), boost::asio::detached);
+        });
+    });
+}
+
+Task<void> EntryRequest::askWhileSilent(
+    std::shared_ptr<EntryRequest> self, MessageStreamPointer stream, AttemptId attempt, Endpoint guard)
+{
+    const auto query = self->m_parts.control.entryLedger.verdictQuery(attempt);
+    if (!query)
+        co_return;
+    const auto reply = co_await self->m_parts.peers.askVerdict(std::move(guard), *query);
+    if (reply && reply->kind == VerdictKind::NotStarted)
+        stream->close();
+}
+
 void EntryRequest::sendOpen(Attempt& attempt)
 {
     OpenRequest open;
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -48,6 +48,8 @@
     Task<void> pause(Duration);
     Task<Decision> makeAttempt(Attempt&);
     Task<Decision> awaitAnswer(Attempt&);
+    void waitThroughSilence(const Attempt&);
+    static Task<void> askWhileSilent(std::shared_ptr<EntryRequest>, MessageStreamPointer, AttemptId, Endpoint);
     Task<Decision> passAnswer(Attempt&, AnswerHead);
     Decision takeRefusal(Attempt&, const Refusal&);
     Task<Decision> endWithoutAnswer(Attempt&, AttemptEnd);
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -239,6 +239,8 @@
         co_return;
     }
     m_startedAt = m_parts.clock.now();
+    if (!context().idempotent)
+        m_stream->waitThroughSilence({});
     m_sent = headForBackend();
     const bool written = co_await m_call->writeHead(m_sent);
     if (written) {
@@ -398,12 +400,13 @@
     });
 }
 
-// Whether the attempt goes on although nobody waits for its answer: a write that has started is better whole than
+// Whether the attempt goes on although nobody may wait for its answer: a write that has started is better whole than
 // broken off.
 bool GuardAttempt::outlives(Reason reason) const
 {
     const bool hasStarted = m_startedAt != Instant();
-    return reason == Reason::CallerGone && !context().idempotent && hasStarted && (!m_open.hasBody || m_bodyIsWhole);
+    const bool mayOutlive = reason == Reason::CallerGone || reason == Reason::ConnectionLost;
+    return mayOutlive && !context().idempotent && hasStarted && (!m_open.hasBody || m_bodyIsWhole);
 }
 
 // Nobody waits for the answer any more: what waits is given up, and what runs is told by closing its connection.
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -220,18 +220,62 @@
     wake(std::move(waiters));
 }
 
+bool Connection::isOpen() const
+{
+    const auto state = m_state.load();
+    return state == State::Ready || state == State::Silent;
+}
+
+// Gives up the streams that do not wait through silence, and the connection if none is left. The other side learns of
+// it once it is heard again.
+void Connection::becomeSilent()
+{
+    std::vector<std::shared_ptr<QueuedStream>> streams;
+    {
+        std::lock_guard guard(m_streamsLock);
+        auto ready = State::Ready;
+        if (!m_state.compare_exchange_strong(ready, State::Silent))
+            return;
+        for (const auto& [number, stream] : m_streams)
+            streams.push_back(stream);
+    }
+    m_peers->board.counters().add(Counter::PeerConnectionsLost);
+    size_t left = 0;
+    for (const auto& stream : streams) {
+        if (stream->noteSilence()) {
+            ++left;
+            continue;
+        }
+        stream->send(CancelRequest { Reason::ConnectionLost });
+        stream->lose();
+    }
+    if (!left)
+        becomeLost();
+}
+
+// A silent connection that is heard again is as good as before.
+void Connection::noteHeard()
+{
+    m_heardAt = stampOf(m_peers->clock.now()).count();
+    auto silent = State::Silent;
+    if (m_state.compare_exchange_strong(silent, State::Ready))
+        m_unansweredPing.reset();
+}
+
 void Connection::becomeLost()
 {
     std::vector<std::shared_ptr<Waiter>> waiters;
     std::unordered_map<uint64_t, std::shared_ptr<QueuedStream>> streams;
+    State before;
     {
         std::lock_guard guard(m_streamsLock);
-        if (m_state.exchange(State::Lost) == State::Lost)
+        before = m_state.exchange(State::Lost);
+        if (before == State::Lost)
             return;
         waiters = std::exchange(m_waiters, {});
         streams = std::exchange(m_streams, {});
     }
-    if (!streams.empty())
+    if (!streams.empty() && before != State::Silent)
         m_peers->board.counters().add(Counter::PeerConnectionsLost);
     for (const auto& [number, stream] : streams)
         stream->lose();
@@ -348,11 +392,11 @@
 
 Task<void> Connection::readMessages()
 {
-    while (m_state.load() == State::Ready) {
+    while (isOpen()) {
         auto frame = co_await readFrame();
         if (!frame)
             co_return;
-        m_heardAt = stampOf(m_peers->clock.now()).count();
+        noteHeard();
         m_peers->board.counters().add(Counter::PeerMessagesReceived);
         handle(std::move(*frame));
     }
@@ -455,8 +499,8 @@
     return stampOf(m_peers->clock.now()) - Duration(m_heardAt.load()) > limit;
 }
 
-// An open connection can go silent for good while new ones work, so one that requests wait on is pinged, and given up
-// when no answer comes. One that nobody uses is closed.
+// An open connection can go silent for good while new ones work, so one that requests wait on is pinged, and counts as
+// silent when no answer comes. One that nobody uses is closed.
 void Connection::startWatching() { boost::asio::co_spawn(m_strand, watch(shared_from_this()), boost::asio::detached); }
 
 Task<void> Connection::watch(std::shared_ptr<Connection> self) { co_await self->keepWatch(); }
@@ -464,23 +508,31 @@
 Task<void> Connection::keepWatch()
 {
     const auto& settings = m_peers->settings;
-    while (m_state.load() == State::Ready) {
+    m_watchedAt = m_peers->clock.now();
+    while (isOpen()) {
         m_watchTimer.expires_after(watchPeriod);
         ErrorCode error;
         co_await m_watchTimer.async_wait(redirect_error(useAwaitable, error));
         const auto now = m_peers->clock.now();
 
+        // After a pause of this process the answer may lie unread in the socket.
+        if (now - std::exchange(m_watchedAt, now) > settings.pingAfter)
+            m_unansweredPing.reset();
+
         // 1. Nobody uses it.
         if (streamCount())
             m_usedAt = now;
         else if (now - m_usedAt > settings.idleTimeout)
             becomeLost();
-        if (!streamCount())
+        if (!streamCount()) {
+            if (m_state.load() == State::Silent)
+                becomeLost();
             continue;
+        }
 
         // 2. Requests wait on a silent connection.
         if (m_unansweredPing && now - m_pingedAt > settings.pingTimeout) {
-            becomeLost();
+            becomeSilent();
         } else if (!m_unansweredPing && (silentFor(settings.pingAfter) || now - m_pingedAt > settings.clockPeriod)) {
             ping(now);
         }
@@ -510,7 +562,7 @@
     bool startWriting = false;
     {
         std::lock_guard guard(m_writeLock);
-        if (m_state.load() != State::Ready || !m_session->seal(m_pending, stream, message))
+        if (!isOpen() || !m_session->seal(m_pending, stream, message))
             return false;
         startWriting = !std::exchange(m_isWriting, true);
     }
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -49,13 +49,21 @@
     /// Closes the socket; streams are told.
     void close();
 
+    /// Whether new streams need another connection.
+    bool refusesStreams() const { return m_state.load() >= State::Silent; }
     bool lost() const { return m_state.load() == State::Lost; }
     /// Whether messages wait to be written.
     bool hasUnsent();
     const Hello& peer() const { return m_session->peer(); }
 
 private:
-    enum class State : uint8_t { Connecting, Ready, Lost };
+    enum class State : uint8_t {
+        Connecting,
+        Ready,
+        /// Nothing is heard; only streams that wait through silence are left.
+        Silent,
+        Lost,
+    };
     using Waiter = Event;
 
     static Task<void> runConnect(std::shared_ptr<Connection>, Endpoint);
@@ -78,7 +86,10 @@
     void handle(Frame);
     void handle(uint64_t stream, OpenRequest);
     void handle(uint64_t stream, const VerdictQuery&);
+    bool isOpen() const;
     void becomeReady();
+    void becomeSilent();
+    void noteHeard();
     void becomeLost();
     void wake(std::vector<std::shared_ptr<Waiter>>);
     bool silentFor(Duration) const;
@@ -102,6 +113,7 @@
     std::atomic<Duration::rep> m_heardAt { 0 };
     std::optional<uint64_t> m_unansweredPing;
     Instant m_pingedAt;
+    Instant m_watchedAt;
     uint64_t m_pings { 0 };
 
     // Streams.
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -265,7 +265,7 @@
 {
     std::shared_ptr<Connection> made;
     const auto connection = outgoing.update(endpoint, [&](std::shared_ptr<Connection>& present) {
-        if (!present || present->lost())
+        if (!present || present->refusesStreams())
             present = made = std::make_shared<Connection>(peers);
         return present;
     });
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -34,6 +34,10 @@
     virtual void stopBody() = 0;
     /// Tells the other side that there is room for so many further body bytes.
     virtual void grantCredit(size_t bytes) = 0;
+    /// Keeps the stream open while its connection is silent, until the connection breaks or either side closes the
+    /// stream. For a request that cannot be repeated: what runs on the other side may still be answered.
+    /// \param whenSilent called at most once, from any thread, when the connection is found to be silent
+    virtual void waitThroughSilence(std::function<void()> whenSilent) = 0;
     /// Ends the stream on this side: whoever receives or waits for room is woken.
     virtual void close() = 0;
     /// The node at the other end.
@@ -59,7 +63,8 @@
 struct PeerSettings {
     /// Longest wait for a new connection to be ready.
     Duration connectTimeout { seconds(1) };
-    /// A connection that requests wait on is pinged after so much silence, and given up after so much more.
+    /// A connection that requests wait on is pinged after so much silence, and counts as silent after so much more: it
+    /// takes no new requests and is given up, except for streams that wait through silence.
     Duration pingAfter { milliseconds(500) };
     Duration pingTimeout { seconds(1) };
     /// How often a connection in use ties the other side's clock to ours anew.
--- a/src/peer/Streams.cpp
+++ b/src/peer/Streams.cpp
@@ -79,6 +79,27 @@
     return m_arrivals.put(std::move(message)) || m_arrivals.closed();
 }
 
+void QueuedStream::waitThroughSilence(std::function<void()> whenSilent)
+{
+    std::lock_guard guard(m_lock);
+    m_waitsThroughSilence = true;
+    m_whenSilent = std::move(whenSilent);
+}
+
+bool QueuedStream::noteSilence()
+{
+    std::function<void()> whenSilent;
+    {
+        std::lock_guard guard(m_lock);
+        if (!m_waitsThroughSilence || m_closed)
+            return false;
+        whenSilent = std::exchange(m_whenSilent, {});
+    }
+    if (whenSilent)
+        whenSilent();
+    return true;
+}
+
 void QueuedStream::lose()
 {
     {
--- a/src/peer/Streams.h
+++ b/src/peer/Streams.h
@@ -3,6 +3,7 @@
 
 #include "peer/Peer.h"
 
+#include <functional>
 #include <mutex>
 
 namespace Vanillaridge {
@@ -17,12 +18,15 @@
     Task<bool> sendBody(BodyChunk) override;
     void stopBody() override;
     void grantCredit(size_t bytes) override;
+    void waitThroughSilence(std::function<void()> whenSilent) override;
     void close() override;
 
     /// A message arrived for this stream. False when the other side sent more than it had credit for.
     bool deliver(StreamMessage);
     /// The connection is gone: what has arrived can still be received.
     void lose();
+    /// The connection is silent. False if the stream does not wait through that.
+    bool noteSilence();
 
 private:
     void addCredit(uint64_t bytes);
@@ -33,6 +37,8 @@
     int64_t m_credit { initialBodyCredit };
     bool m_bodyStopped { false };
     bool m_closed { false };
+    bool m_waitsThroughSilence { false };
+    std::function<void()> m_whenSilent;
 };
 
 /// A pair of streams that lead to each other, for a request whose backend server is beside the node it entered.
--- a/src/verdict/EntryLedger.cpp
+++ b/src/verdict/EntryLedger.cpp
@@ -114,7 +114,7 @@
 {
     std::optional<VerdictQuery> query;
     m_board.entries().visit(attempt.request, [&](const EntryRecord& record) {
-        if (isPresent(record, attempt) && record.state == EntryState::Asking)
+        if (isPresent(record, attempt) && isOpen(record))
             query = VerdictQuery { attempt, record.guard, record.openedAt, record.deadline - Instant(record.openedAt) };
     });
     return query;
--- a/src/verdict/Verdict.h
+++ b/src/verdict/Verdict.h
@@ -170,7 +170,7 @@
     /// \param retryAllowed whether time and retry budget allow for another try
     std::optional<Decision> ended(const AttemptId&, AttemptEnd, bool retryAllowed);
 
-    /// The query to send after AskForVerdict; nothing if it is no longer wanted.
+    /// The query to send after AskForVerdict, or while the guard is silent; nothing if it is no longer wanted.
     std::optional<VerdictQuery> verdictQuery(const AttemptId&);
     /// The verdict came, or will not come (Unknown). Nothing if it is no longer wanted.
     std::optional<Decision> judged(const VerdictReply&, bool retryAllowed);
