--- a/src/retry/Retry.cpp
+++ b/src/retry/Retry.cpp
@@ -101,8 +101,8 @@
         budget.decayedAt = now;
     }
 
-    // Requests that fail at their first calls make no others. So that the budget does not shrink with them, it is filled
-    // at the rate of the last seconds for as long as that is higher.
+    // Requests that fail at their first calls make no others. So that the budget does not shrink with them, it is
+    // filled at the rate of the last seconds for as long as that is higher.
     static void topUp(ServiceBudget& budget, Instant now, double fraction)
     {
         const auto elapsed = now - budget.toppedUpAt;
