--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -236,8 +236,6 @@
         if (ended == Reason::ServerBusy)
             m_rejectedBy.push_back(attempt.choice.server.node);
         if (decision.step == NextStep::TryAnotherServer) {
-            m_parts.board.counters().add(Counter::RetriesSpent);
-            m_parts.board.counters().addRetry(decision.reason);
             lastReason = decision.reason;
             retryAfter = attempt.retryAfter;
             co_await m_body->join();
