Test late copies of answers, large answers to late readers, and restarts after a withdrawn key

HttpTests: a second copy of an answer, on a connection in use again or between two calls, never reaches another call. ProcessTests: 48 MB to a caller that reads late come whole through two nodes that stay below 32 MB; held before, by the credit of streams, and not tested. DisseminationTests: members that start again after a change, with the store there or away, never hold an earlier one.

--- a/tests/DisseminationTests.cpp
+++ b/tests/DisseminationTests.cpp
@@ -286,6 +286,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenMembersStartAgainAfterAChange)
+
+// A key that the change withdrew must not work anywhere again.
+BOOST_AUTO_TEST_CASE(ThenTheyNeverHoldAnEarlierConfiguration)
+{
+    for (const bool down : { false, true }) {
+        const auto changed = apply(down ? "north" : "north south");
+        BOOST_REQUIRE(within(seconds(10), [&] { return everywhere(changed); }));
+        objects.down = down;
+        for (const size_t index : { 2, 3, 11 }) {
+            fleet.kill(index);
+            fleet.start(index);
+        }
+        bool heldEarlier = false;
+        BOOST_TEST(within(seconds(20), [&] {
+            fleet.forEach([&](FakeMember& member) {
+                const auto number = numberAt(member);
+                heldEarlier = heldEarlier || (number && number < changed);
+            });
+            return everywhere(changed);
+        }));
+        BOOST_TEST(!heldEarlier);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAMemberMissedManyChanges)
 
 BOOST_AUTO_TEST_CASE(ThenItTakesTheWholeListWhenNobodyKnowsItsOwn)
--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -453,6 +454,95 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+std::string answerTo(std::string_view id)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + std::string(id) + "\r\nContent-Length: 1\r\n\r\n" + std::string(id);
+}
+
+// A backend server that accepts connections one after the other, and sends bytes of the test's choice after each
+// request.
+struct Scripted {
+    // Bytes after each request of each connection.
+    using Script = std::vector<std::vector<std::string>>;
+
+    explicit Scripted(Script script)
+        : thread([this, script = std::move(script)] { serve(script); })
+    {
+    }
+
+    void serve(const Script& script)
+    {
+        for (const auto& answers : script) {
+            Tcp::socket socket(context);
+            acceptor.accept(socket);
+            for (const auto& bytes : answers) {
+                std::string request;
+                boost::system::error_code error;
+                boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", error);
+                boost::asio::write(socket, boost::asio::buffer(bytes), error);
+            }
+            // Left open until the caller closes it.
+            open.push_back(std::move(socket));
+        }
+    }
+
+    Endpoint endpoint() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+
+    boost::asio::io_context context;
+    Tcp::acceptor acceptor { context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0) };
+    std::vector<Tcp::socket> open;
+    std::jthread thread;
+};
+
+// The bodies of the answers to requests "1", "2" and so on; empty for a call that failed.
+std::vector<std::string> callInTurn(const Endpoint& endpoint, int count)
+{
+    std::vector<std::string> bodies;
+    boost::asio::io_context context { 1 };
+    BackendPool pool(context);
+    const auto strand = boost::asio::make_strand(context);
+    for (int i = 1; i <= count; ++i) {
+        const auto id = std::to_string(i);
+        const auto call = [&]() -> Task<void> {
+            const auto connection = co_await pool.connect(endpoint, strand, seconds(1));
+            BOOST_REQUIRE(connection);
+            RequestHead head { "GET", "/" + id, { { "Host", "a" } }, false, std::nullopt };
+            co_await connection->writeHead(std::move(head));
+            const auto reply = co_await connection->readHead(
+                [&](const ReplyHead& answer) { return headerIn(answer.headers, "Id") != id; });
+            bodies.emplace_back();
+            if (!reply)
+                co_return;
+            const auto piece = co_await connection->readBody();
+            bodies.back() = piece.bytes;
+        };
+        boost::asio::co_spawn(strand, call, boost::asio::detached);
+        context.restart();
+        context.run();
+    }
+    return bodies;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GivenABackendServerThatSendsASecondCopyOfAnAnswer)
+
+BOOST_AUTO_TEST_CASE(ThenACopyThatComesInTheNextCallIsPassedOver)
+{
+    const Scripted server({ { answerTo("1"), answerTo("1") + answerTo("2") } });
+    BOOST_TEST((callInTurn(server.endpoint(), 2) == std::vector<std::string> { "1", "2" }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenACopyThatComesBetweenCallsEndsItsConnection)
+{
+    const Scripted server({ { answerTo("1") + answerTo("1") }, { answerTo("2") } });
+    BOOST_TEST((callInTurn(server.endpoint(), 2) == std::vector<std::string> { "1", "2" }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(GivenABackendServer)
 
 BOOST_AUTO_TEST_CASE(ThenCallsOneAfterTheOtherShareAConnection)
--- a/tests/ProcessTests.cpp
+++ b/tests/ProcessTests.cpp
@@ -279,6 +279,25 @@
     BOOST_TEST((cut.status == 502u || cut.cutShort));
 }
 
+BOOST_AUTO_TEST_CASE(ThenACallerThatReadsLateGetsItWholeAndNoNodeHoldsIt)
+{
+    // The memory that a node may use for control at the design size; a body that it held would exceed it.
+    constexpr size_t memoryLimit = 32 << 20;
+    constexpr size_t size = 48'000'000;
+    const HttpCall call { "GET", "/ledger/read/1?size=" + std::to_string(size), withKey(), {} };
+    HttpConnection late(entry().callers());
+    late.send(call);
+    // Meanwhile the same nodes serve others.
+    for (int i = 0; i < 200; ++i)
+        BOOST_TEST(callHttp(entry().callers(), readCall("ledger")).status == 200u);
+    const auto answer = late.receive(call);
+    BOOST_TEST(answer.status == 200u);
+    BOOST_TEST(!answer.cutShort);
+    BOOST_TEST(answer.body.size() == size);
+    for (size_t i = 0; i < fleet.size(); ++i)
+        BOOST_TEST(fleet.node(i).process().peakMemory() < memoryLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -26,6 +26,8 @@
     // The exit code, or 128 and the signal that ended it; nothing if it still runs after the limit.
     std::optional<int> awaitEnd(std::chrono::milliseconds limit);
     bool running();
+    // The most memory that it has used, in bytes; 0 once it has ended.
+    size_t peakMemory() const;
 
 private:
     pid_t m_pid;
@@ -66,6 +68,8 @@
     HttpAnswer call(const HttpCall&);
     // Sends a request and does not wait for its answer.
     void send(const HttpCall&);
+    // Reads the answer to a call that was sent.
+    HttpAnswer receive(const HttpCall&);
     // Sends raw bytes, and returns what comes back until the other side closes or the patience ends.
     std::string exchangeRaw(const std::string& bytes, std::chrono::milliseconds patience);
 
--- a/tests/fleet/HttpCalls.cpp
+++ b/tests/fleet/HttpCalls.cpp
@@ -67,12 +67,16 @@
 
 HttpAnswer HttpConnection::call(const HttpCall& call)
 {
-    HttpAnswer answer;
     if (!m_state->connected)
-        return answer;
+        return {};
+    // The answer is read also when the request could not be written to its end.
     send(call);
+    return receive(call);
+}
 
-    // The answer, also when the request could not be written to its end.
+HttpAnswer HttpConnection::receive(const HttpCall& call)
+{
+    HttpAnswer answer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(largestAnswer);
     parser.skip(call.method == "HEAD");
--- a/tests/fleet/Processes.cpp
+++ b/tests/fleet/Processes.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -63,6 +64,17 @@
     return false;
 }
 
+size_t Process::peakMemory() const
+{
+    constexpr std::string_view field = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field))
+            return std::stoul(line.substr(field.size())) * 1024;
+    }
+    return 0;
+}
+
 std::optional<int> Process::awaitEnd(std::chrono::milliseconds limit)
 {
     eventually([this] { return !running(); }, limit);
