Read the manifest from the store at a node's start, before peers are asked for it

Cause: a node that starts and already knows others was no watcher and took its configuration from the first peer whose number it heard. If that peer was behind, the node held an earlier configuration than before its restart, and a key that had been withdrawn worked again until it heard of the newer number.

Test: ThenTheMemberTakesTheConfigurationFromTheStore, with a first peer that is behind: on the code before it asked that peer and had read nothing after 0.5 s.

--- a/src/dissemination/Dissemination.cpp
+++ b/src/dissemination/Dissemination.cpp
@@ -18,6 +18,7 @@
     nextReview = now + random.jittered(settings.startSpread, 1);
     nextManifestRead = nextReview;
     firstWatch = now + settings.joinDelay;
+    firstFetch = nextReview + settings.answerTimeout;
 }
 
 void Dissemination::State::carryOut(Effects& effects)
@@ -37,17 +38,18 @@
         nextReview = now + settings.reviewPeriod;
         reviewDuty();
     }
-    // 2. Watchers look at the store.
-    if (isWatcher) {
-        if (now >= firstWatch)
-            watchManifest(now, effects);
-        if (now >= nextManifestRead)
-            readManifest(now, effects);
-    }
+    // 2. Watchers look at the store, and so does every node once at its start: a peer may be behind, and a key that was
+    // withdrawn must not work again after a restart.
+    if (isWatcher && now >= firstWatch)
+        watchManifest(now, effects);
+    const bool isStarting = !storeHasAnswered && now < firstWatch;
+    if ((isWatcher || isStarting) && now >= nextManifestRead)
+        readManifest(now, effects);
     writeStatus(now, effects);
     // 3. Whoever is behind fetches.
     noteBehind(now);
-    fetch(now, effects);
+    if (storeHasAnswered || now >= firstFetch)
+        fetch(now, effects);
 }
 
 // A number that was found bad here is not waited for.
--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -102,6 +102,9 @@
     bool isWatcher { false };
     Instant nextReview;
     Instant firstWatch;
+    // Whether the store has answered a reading of the manifest, and until when peers are not asked in its place.
+    bool storeHasAnswered { false };
+    Instant firstFetch;
     uint64_t lastTicket { 0 };
     PendingCall manifestWatch;
     PendingCall manifestRead;
--- a/src/dissemination/Watching.cpp
+++ b/src/dissemination/Watching.cpp
@@ -135,12 +135,14 @@
     if (!result) {
         // Without a configuration nothing can be served.
         run([&](Effects&) {
+            firstFetch = std::min(firstFetch, clock.now());
             if (!heldNumber())
                 nextManifestRead = std::min(nextManifestRead, clock.now() + random.jittered(settings.failureWait, 0.5));
         });
         return;
     }
     run([&](Effects& effects) {
+        storeHasAnswered = true;
         const auto& object = result.value();
         nextManifestRead = clock.now() + random.jittered(settings.silenceLimit, 0.2);
         seenVersion = std::max(seenVersion, object.version);
--- a/tests/DisseminationTests.cpp
+++ b/tests/DisseminationTests.cpp
@@ -286,6 +286,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheFirstPeerOfANewMemberIsBehind)
+
+BOOST_AUTO_TEST_CASE(ThenTheMemberTakesTheConfigurationFromTheStore)
+{
+    const auto changed = apply("north south");
+    // It knows others already, and is no watcher; one of them has told of the number before the change.
+    Board board({ "10.9.9.9:7000", "zone-0", { 77 }, { 1 } });
+    fleet.forEach([&](FakeMember& member) {
+        board.members().update(member.board.self().id(), [&](MemberRecord& record) {
+            record.said.endpoint = member.board.self().endpoint;
+            record.said.zone = "zone-0";
+            record.said.state = MemberState::Alive;
+        });
+    });
+    board.configuration().updateFreshness([&](FreshnessRecord& record) {
+        record.newestNumber = first;
+        record.newestFrom = FakeFleet::endpointOf(0);
+    });
+    Dissemination member(board, fleet.clock, *random, objects, codec, {});
+    for (int i = 0; i < 10; ++i) {
+        fleet.clock.advance(milliseconds(50));
+        member.tick();
+        objects.deliver();
+    }
+    BOOST_TEST(!member.watching());
+    BOOST_TEST(board.outbox().drain().empty());
+    BOOST_REQUIRE(board.configuration().inForce());
+    BOOST_TEST(board.configuration().inForce()->number() == changed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenMembersStartAgainAfterAChange)
 
 // A key that the change withdrew must not work anywhere again.
