--- a/tests/RetryTests.cpp
+++ b/tests/RetryTests.cpp
@@ -52,13 +52,21 @@
     uint32_t fanOut;
     // Whether a failed attempt is answered, with the number of retries it used.
     bool hasAnswers { true };
+    // The share of attempts that the backend servers reject without running them.
+    double rejected { 0 };
+    // Per level: attempts that ran, and all that arrived.
     std::vector<uint64_t> attempts {};
+    std::vector<uint64_t> arrivals {};
+    // Per level: calls, of which each has one first attempt.
+    std::vector<uint64_t> calls {};
 
     explicit CallTree(Fixture& fixture, uint32_t depth, uint32_t fanOut)
         : fixture(fixture)
         , depth(depth)
         , fanOut(fanOut)
         , attempts(depth + 1)
+        , arrivals(depth + 1)
+        , calls(depth + 1)
     {
     }
 
@@ -68,12 +76,17 @@
         const auto id = fixture.addEntry(retries);
         const auto service = "service-" + std::to_string(level);
         fixture.retry.countFirstAttempt(service);
+        ++calls[level];
         AttemptId attempt { id, 0 };
         for (;;) {
             const auto lent = fixture.retry.lendToAttempt(id);
-            const auto used = runAttempt(level, attempt, lent);
-            fixture.retry.returnFromAttempt(id, lent, hasAnswers ? std::optional(used) : std::nullopt);
-            const auto grant = fixture.retry.acquireRetry(id, service, Reason::PeerUnreachable);
+            ++arrivals[level];
+            const bool isRejected = fixture.random->unit() < rejected;
+            const auto used = isRejected ? 0 : runAttempt(level, attempt, lent);
+            const bool isAnswered = isRejected || hasAnswers;
+            fixture.retry.returnFromAttempt(id, lent, isAnswered ? std::optional(used) : std::nullopt);
+            const auto grant
+                = fixture.retry.acquireRetry(id, service, isRejected ? Reason::ServerBusy : Reason::PeerUnreachable);
             if (!grant)
                 break;
             attempt.number = grant->number;
@@ -344,6 +357,27 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(ThenRejectionsAddNoRunsAndNoMoreArrivalsThanTheServicesBudgets)
+{
+    BOOST_TEST(rc::check("amplification with rejections", [] {
+        constexpr double reserve = 5;
+        Fixture fixture;
+        const auto depth = *rc::gen::inRange(1U, 8U);
+        const auto fanOut = *rc::gen::inRange(1U, 3U);
+        CallTree trees(fixture, depth, fanOut);
+        trees.rejected = double(*rc::gen::inRange(1, 100)) / 100;
+        const auto requests = *rc::gen::inRange(1U, 50U);
+        for (uint32_t i = 0; i < requests; ++i)
+            trees.runCall(1, retriesPerRequest);
+        for (uint32_t level = 1; level <= depth; ++level) {
+            const auto runs = requests * (1 + retriesPerRequest) * power(fanOut, level - 1);
+            RC_ASSERT(trees.attempts[level] <= runs);
+            const auto budget = Policy {}.retryFraction * double(trees.calls[level]) + reserve;
+            RC_ASSERT(double(trees.arrivals[level] - trees.calls[level]) <= budget);
+        }
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(ThenAnOutageCostsAServiceItsFractionAtMost)
 {
     Fixture fixture;
