--- a/src/dissemination/Dissemination.cpp
+++ b/src/dissemination/Dissemination.cpp
@@ -43,8 +43,6 @@
     // withdrawn must not work again after a restart.
     const bool isOnDuty = isWatcher && reviewedAt >= firstWatch;
     const bool isStarting = !storeHasAnswered && now < firstWatch;
-    if (!std::exchange(wasOnDuty, isOnDuty) && isOnDuty)
-        nextManifestRead = now + random.jittered(settings.silenceLimit, 0.2);
     if (isOnDuty)
         watchManifest(now, effects);
     if ((isOnDuty || isStarting) && now >= nextManifestRead)
--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -100,7 +100,6 @@
     std::vector<std::string> errors;
 
     bool isWatcher { false };
-    bool wasOnDuty { false };
     Instant nextReview;
     Instant reviewedAt;
     // Watchers act on reviews from here on.
