--- a/src/dissemination/Directory.cpp
+++ b/src/dissemination/Directory.cpp
@@ -154,6 +154,7 @@
     std::mutex lock;
     // Whether this life of the node has written its entry.
     bool entryWritten { false };
+    // At first later than the first reading, which shows whether there is an entry already.
     Instant nextEntry;
     Instant nextRead;
     Instant nextCleaning;
--- a/src/entry/CallTracer.h
+++ b/src/entry/CallTracer.h
@@ -40,8 +40,8 @@
 /// A call's deadline is never later than its parent's.
 ///
 /// Ids may be hierarchical: a call's id extends the id of the request that makes it by a dot and a suffix. If the id of
-/// a call extends that of a running request whose deadline the call can have, that request is its parent. A caller that
-/// makes up such an id names a request whose id it knows, so it cannot choose the rank of another caller's request.
+/// a call extends that of a running request that ends no earlier than the call, that request is its parent. A caller
+/// can make up such an id, but only for a request whose id it knows.
 ///
 /// Otherwise the deadline decides. Where the parent's deadline is what bounds the call, the two match and identify the
 /// parent. Under load many deadlines lie close together, so a match is accepted only if calls of the route match
--- a/src/retry/Retry.cpp
+++ b/src/retry/Retry.cpp
@@ -44,8 +44,7 @@
     // Whether the backend server itself rejected the request, so that it has not run.
     bool isRejection(Reason reason) { return reason == Reason::ServerBusy; }
 
-    // Whether the route allows retries at all: the budget, if it has been lent to no attempt, is what it was at first
-    // less what was used.
+    // Whether the request was given any retries. What no attempt holds on loan is either left or used.
     bool mayRetryAtAll(const EntryRecord& entry) { return entry.context.retriesLeft + entry.retriesUsed > 0; }
 
     // Tokens that a retry leaves in the bucket.
