--- a/review/stand-ins/Case.cpp
+++ b/review/stand-ins/Case.cpp
@@ -14,6 +14,7 @@
 #include <poll.h>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -540,6 +541,8 @@
     record("start    " + m_name + " at " + m_address + " in " + m_zone);
     m_process = fork();
     if (!m_process) {
+        // Whatever ends the case ends its nodes.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(output, 1);
         dup2(output, 2);
