--- a/review/stand-ins/Case-1.cpp
+++ b/review/stand-ins/Case-1.cpp
@@ -45,11 +45,13 @@
         server.noteRun(message);
         return server.answer(connection, message);
     }
-    // The body's first bytes come in pieces of their own; what is read here is given up.
     const auto id = message.header("Request-Id");
     connection.readAtLeast(rejectedAfter, milliseconds(2000));
     record("rejected " + id + " at " + server.instance() + " with Not-Executed, before it was in");
-    return server.reject(connection);
+    server.reject(connection);
+    // It reads on, so that its answer is not lost with a reset.
+    connection.readBody(message, milliseconds(2000));
+    return false;
 }
 
 void play()
