--- a/review/stand-ins/Case-2.cpp
+++ b/review/stand-ins/Case-2.cpp
@@ -1,102 +1,84 @@
-// A planned stop of a node, with requests under way that end well before the grace is over.
+// A key is taken away by a new version, in a deployment with one tenant that has many keys.
 #include "Case.h"
 
-#include <csignal>
-
 using namespace Review;
 
 namespace {
 
-// Of the sheet of the large deployment: "grace-s" 10, certificates within 5,006 ms and up to 3,800 ms of work.
-constexpr int64_t graceMilliseconds = 10'000;
-constexpr int deadline = 5006;
-constexpr int64_t work = 3700;
-// The rule leaves out what was sent no later than this after SIGTERM, if it still ran in the last sixth of the grace.
-constexpr int64_t leftOutUntil = 3000;
-// A node that is not ready gets no new work after two misses, one second apart.
-constexpr int64_t lastRequest = 2000;
+constexpr int nodes = 4;
+// Of the sheets: "config-apply-ms".
+constexpr milliseconds applyTime(2000);
+constexpr size_t keysOfTenant = 300;
 
-struct Sent {
-    Request request;
-    int64_t at { 0 };
-    Answer answer;
-    int64_t endedAt { 0 };
-};
+std::vector<std::string> keys()
+{
+    std::vector<std::string> all;
+    for (size_t i = 0; i < keysOfTenant; ++i)
+        all.push_back("key-of-station-" + std::to_string(1000 + i));
+    return all;
+}
 
 void play()
 {
-    // 1. Two nodes: callers at the one, the server of certificates beside the other.
-    Node stopping("zone-a", "reports", 2);
-    Node staying("zone-b", "certs", 3);
-    putConfiguration(configuration(1, { route("r-sign", "/sign/", "certs", "non_idempotent", 5100) },
-        { "certs", "reports" }, { tenant("north", { "example-key-of-a-tenant" }) }));
-    for (auto* node : { &stopping, &staying })
+    // 1. Four nodes of one zone, and a configuration that all of them serve.
+    std::vector<std::unique_ptr<Node>> fleet;
+    for (int i = 0; i < nodes; ++i)
+        fleet.push_back(std::make_unique<Node>("zone-a", "reports", 2 + i));
+    auto all = keys();
+    const auto version = [&](int number) {
+        return configuration(number, { route("r-report", "/report/", "reports", "idempotent") }, { "reports" },
+            { tenant("north", all) });
+    };
+    putConfiguration(version(1));
+    std::vector<std::unique_ptr<Server>> servers;
+    for (auto& node : fleet) {
         node->start();
-    Server certs("certs", "i-certs", staying.application(), staying.zone(), staying.control());
-    certs.onRequest([](Server& server, Connection& connection, Message message) {
-        connection.readBody(message, milliseconds(5000));
-        if (!message.whole)
-            return false;
-        server.noteRun(message);
-        std::this_thread::sleep_for(milliseconds(work));
-        return server.answer(connection, message);
-    });
-    certs.start();
-    certs.startBeating();
-    for (auto* node : { &stopping, &staying })
+        servers.push_back(std::make_unique<Server>(
+            "reports", "i-" + std::to_string(servers.size()), node->application(), node->zone(), node->control()));
+        servers.back()->start();
+        servers.back()->startBeating();
+    }
+    for (auto& node : fleet)
         node->awaitReady();
-    std::this_thread::sleep_for(milliseconds(4000));
+    std::this_thread::sleep_for(milliseconds(6000));
+
+    // 2. Both keys are good everywhere.
+    const auto taken = all.back();
+    const auto kept = all.front();
+    const auto askAll = [&](const std::string& name, const std::string& key) {
+        std::vector<Answer> answers;
+        for (size_t i = 0; i < fleet.size(); ++i)
+            answers.push_back(
+                ask(fleet[i]->outbound(), { .id = name + "-" + std::to_string(i), .path = "/report/1", .key = key }));
+        return answers;
+    };
+    for (const auto& answer : askAll("before-kept", kept))
+        require(answer.status == 200, "a key that is there is not served");
+    for (const auto& answer : askAll("before-taken", taken))
+        require(answer.status == 200, "a key that is there is not served");
 
-    // 2. The stop, and requests before and after it, for as long as clients may send new work.
-    const auto stoppedAt = sinceStart() + 1000;
-    std::mutex lock;
-    std::vector<Sent> all;
-    std::vector<std::thread> callers;
-    for (int64_t at = -800; at <= lastRequest; at += 200) {
-        callers.emplace_back([&, at] {
-            sleepUntil(stoppedAt + at);
-            Sent sent;
-            sent.request = { .id = "sign-" + std::to_string(at + 800),
-                .method = "POST",
-                .path = "/sign/1",
-                .body = "certificate",
-                .deadline = deadline };
-            sent.at = sinceStart();
-            sent.answer = ask(stopping.outbound(), sent.request);
-            sent.endedAt = sinceStart();
-            std::lock_guard guard(lock);
-            all.push_back(std::move(sent));
-        });
+    // 3. One of them is taken away.
+    if (hasTrouble()) {
+        all.pop_back();
+        putConfiguration(version(2));
     }
-    sleepUntil(stoppedAt);
-    if (hasTrouble())
-        stopping.signal(SIGTERM);
-    for (auto& caller : callers)
-        caller.join();
-    if (hasTrouble())
-        record(stopping.awaitEnd(milliseconds(graceMilliseconds)) ? "the node has ended" : "the node goes on");
 
-    // 3. What was passed on and got no answer, though its server was done in time.
-    std::map<std::string, int64_t> runs;
-    for (const auto& run : certs.runs())
-        runs[run.id] = run.at;
-    size_t served = 0;
-    for (const auto& sent : all) {
-        served += sent.answer.status == 200;
-        const auto run = runs.find(sent.request.id);
-        if (sent.answer.status || run == runs.end())
-            continue;
-        const auto sentAfter = sent.at - stoppedAt;
-        const auto doneAfter = run->second + work - stoppedAt;
-        const bool isLeftOut = sentAfter <= leftOutUntil && doneAfter >= graceMilliseconds * 5 / 6;
-        if (!isLeftOut && sent.endedAt <= stoppedAt + graceMilliseconds + 1000)
-            broken("LOST: " + sent.request.id + ", sent " + std::to_string(sentAfter)
-                + " ms after SIGTERM and run by i-certs, ended without an answer at "
-                + std::to_string(sent.endedAt - stoppedAt) + " ms; its server was done at " + std::to_string(doneAfter)
-                + " ms of a grace of " + std::to_string(graceMilliseconds));
+    // 4. Long after the bound, it must not work anywhere.
+    for (int round = 0; round < 4; ++round) {
+        std::this_thread::sleep_for(round ? milliseconds(5000) : 2 * applyTime);
+        for (const auto& answer : askAll("after-kept-" + std::to_string(round), kept))
+            require(answer.status == 200, "a key that is there is not served");
+        const auto answers = askAll("after-taken-" + std::to_string(round), taken);
+        for (size_t i = 0; i < answers.size(); ++i) {
+            if (hasTrouble() && answers[i].status != 401)
+                broken("CONFIG: the key that was taken away got " + answers[i].text() + " at node-"
+                    + std::to_string(2 + i));
+            if (!hasTrouble() && answers[i].status != 200)
+                broken("CONFIG: a key that is there got " + answers[i].text());
+        }
     }
-    record("served " + std::to_string(served) + " of " + std::to_string(all.size()));
-    require(served > 5, "hardly anything was served");
+    for (const auto& run : servers.front()->runs())
+        require(run.tenant == "north", "a run without its tenant");
 }
 
 } // namespace
--- a/review/stand-ins/Case-4.cpp
+++ b/review/stand-ins/Case-4.cpp
@@ -1,138 +1,90 @@
-// Most machines of a deployment are lost at once and for good; later a route is dropped.
+// A server leaves, its node is restarted, and a heartbeat from before the leaving arrives late.
 #include "Case.h"
 
-#include <algorithm>
-#include <csignal>
-
 using namespace Review;
 
 namespace {
 
-// The size of the small site: four zones of four.
-constexpr size_t zones = 4;
-constexpr size_t nodesOfZone = 4;
-// Of the sheets: "config-apply-ms" and "max-stretch-ms".
-constexpr int64_t applyMilliseconds = 2000;
-constexpr int64_t stretchMilliseconds = 5000;
-
-// Calls to the store that a node has counted.
-double storeCalls(const Node& node)
-{
-    const auto page = node.page("/metrics");
-    const std::string name = "vanillaridge_store_calls";
-    for (size_t at = page.find(name); at != std::string::npos; at = page.find(name, at + 1)) {
-        if (at && page[at - 1] != '\n')
-            continue;
-        const auto line = page.substr(at, page.find('\n', at) - at);
-        return std::atof(line.substr(line.rfind(' ') + 1).c_str());
-    }
-    require(false, "a node does not tell its calls to the store");
-    return 0;
-}
-
-// In each zone the node that asks the store least: the others hear of changes from those that watch it.
-std::vector<size_t> quietest(const std::vector<std::unique_ptr<Node>>& fleet)
-{
-    std::vector<double> calls;
-    for (const auto& node : fleet)
-        calls.push_back(storeCalls(*node));
-    std::this_thread::sleep_for(milliseconds(8000));
-    std::string text;
-    for (size_t i = 0; i < fleet.size(); ++i) {
-        calls[i] = storeCalls(*fleet[i]) - calls[i];
-        text += " node-" + std::to_string(2 + i) + ":" + std::to_string(static_cast<int>(calls[i]));
-    }
-    record("calls to the store in 8 s:" + text);
-    std::vector<size_t> found;
-    for (size_t zone = 0; zone < zones; ++zone) {
-        const auto first = calls.begin() + static_cast<std::ptrdiff_t>(zone * nodesOfZone);
-        const auto least = std::min_element(first, first + nodesOfZone);
-        found.push_back(static_cast<size_t>(least - calls.begin()));
-    }
-    return found;
-}
+// Of the sheets: "drain-ms" and "stable-window-ms".
+constexpr int64_t drainMilliseconds = 2000;
+constexpr int64_t stableMilliseconds = 3000;
+// How late the heartbeat is.
+constexpr int64_t late = 4000;
 
 void play()
 {
-    // 1. The nodes, each beside a server of the one service, and a public route beside a keyed one.
-    std::vector<std::unique_ptr<Node>> fleet;
-    std::vector<std::unique_ptr<Server>> servers;
-    for (size_t i = 0; i < zones * nodesOfZone; ++i)
-        fleet.push_back(
-            std::make_unique<Node>("zone-" + std::to_string(1 + i / nodesOfZone), "reports", static_cast<int>(2 + i)));
-    const auto keyed = route("r-report", "/report/", "reports", "idempotent");
-    const auto open = route("r-open", "/open/", "reports", "idempotent", 6000, 2, true);
-    const auto version = [&](int number, const std::vector<std::string>& routes) {
-        return configuration(number, routes, { "reports" }, { tenant("north", { "example-key-of-a-tenant" }) });
-    };
-    putConfiguration(version(1, { keyed, open }));
-    for (auto& node : fleet) {
+    // 1. Two servers of one service, beside nodes of their own, and a node where callers are.
+    Node entry("zone-a", "certs", 2);
+    Node leaving("zone-b", "reports", 3);
+    Node staying("zone-b", "reports", 4);
+    putConfiguration(configuration(1, { route("r-report", "/report/", "reports", "idempotent") },
+        { "reports", "certs" }, { tenant("north", { "example-key-of-a-tenant" }) }));
+    for (auto* node : { &entry, &leaving, &staying })
         node->start();
-        servers.push_back(std::make_unique<Server>(
-            "reports", "i-" + std::to_string(servers.size()), node->application(), node->zone(), node->control()));
-        servers.back()->start();
-        servers.back()->startBeating();
+    Server first("reports", "i-first", leaving.application(), leaving.zone(), leaving.control());
+    Server second("reports", "i-second", staying.application(), staying.zone(), staying.control());
+    for (auto* server : { &first, &second }) {
+        server->start();
+        server->startBeating();
     }
-    for (auto& node : fleet)
+    for (auto* node : { &entry, &leaving, &staying })
         node->awaitReady();
-    std::this_thread::sleep_for(milliseconds(6000));
-    const auto left = quietest(fleet);
-    const auto isLeft = [&](size_t i) { return std::ranges::find(left, i) != left.end(); };
-    const auto askOpen = [&](size_t i, const std::string& name) {
-        return ask(fleet[i]->outbound(),
-            { .id = name + "-" + std::to_string(2 + i), .path = "/open/1", .deadline = 2000, .key = "" });
-    };
-    for (const auto i : left) {
-        int served = 0;
-        for (int number = 0; number < 10; ++number)
-            served += askOpen(i, "before-" + std::to_string(number)).status == 200;
-        require(served > 5, "the public route is not served");
-    }
+    std::this_thread::sleep_for(milliseconds(5000));
 
-    // 2. All others are lost, with their servers.
-    if (hasTrouble()) {
-        for (size_t i = 0; i < fleet.size(); ++i) {
-            if (!isLeft(i))
-                fleet[i]->signal(SIGKILL);
+    // 2. Callers, all along.
+    std::atomic<bool> over { false };
+    std::thread callers([&] {
+        for (int number = 0; !over; ++number) {
+            ask(entry.outbound(), { .id = "report-" + std::to_string(number), .path = "/report/1" });
+            std::this_thread::sleep_for(milliseconds(50));
         }
-        for (size_t i = 0; i < fleet.size(); ++i) {
-            if (isLeft(i))
-                continue;
-            servers[i]->stop();
-            require(fleet[i]->awaitEnd(milliseconds(5000)), "a node does not end");
-        }
-    }
-    std::this_thread::sleep_for(milliseconds(45000));
+    });
+    std::this_thread::sleep_for(milliseconds(1000));
 
-    // 3. The public route is dropped. The store has been well all along.
-    const auto acknowledged = putConfiguration(version(2, { keyed }));
+    // 3. A heartbeat is sent and held up; the server then leaves, and is told that this is known.
+    first.stopBeating();
+    const auto heldUp = first.nextBeat("ready");
+    const auto sentAt = sinceStart();
+    if (hasTrouble())
+        record("heartbeat of i-first with state ready leaves the server and is held up");
+    else
+        require(first.sendBeat(heldUp), "the heartbeat is not acknowledged");
+    std::this_thread::sleep_for(milliseconds(300));
+    require(first.deregister(), "the farewell is not acknowledged");
+    const auto acknowledgedAt = sinceStart();
+    record("farewell of i-first acknowledged by node-3");
 
-    // 4. Long after the bound it must not be served.
-    sleepUntil(acknowledged + applyMilliseconds + stretchMilliseconds);
+    // 4. The node is stopped and started again on its own; the server goes on serving for a while.
+    if (hasTrouble()) {
+        std::this_thread::sleep_for(milliseconds(500));
+        leaving.restart();
+    }
+    const auto restartedAt = sinceStart();
+    leaving.awaitReady();
+    sleepUntil(sentAt + late);
+    if (hasTrouble())
+        record(std::string("the heartbeat that was held up arrives at node-3: ")
+            + (first.sendBeat(heldUp) ? "200" : "not acknowledged"));
+    std::this_thread::sleep_for(milliseconds(8000));
+    over = true;
+    callers.join();
+
+    // 5. What reached the server after the bound, once its node is in touch again.
+    int early = 0;
+    int64_t firstLate = 0;
     int count = 0;
-    int keyed200 = 0;
-    int keyedAll = 0;
-    int64_t last = 0;
-    for (int number = 0; sinceStart() < acknowledged + 27000; ++number) {
-        for (const auto i : left) {
-            const auto at = sinceStart();
-            if (askOpen(i, "after-" + std::to_string(number)).status == 200) {
-                ++count;
-                last = at - acknowledged;
-            }
-            const auto answer = ask(fleet[i]->outbound(),
-                { .id = "keyed-" + std::to_string(number) + "-" + std::to_string(2 + i),
-                    .path = "/report/1",
-                    .deadline = 2000 });
-            ++keyedAll;
-            keyed200 += answer.status == 200;
-        }
-        std::this_thread::sleep_for(milliseconds(1000));
+    for (const auto& run : first.runs()) {
+        early += run.at < acknowledgedAt;
+        if (run.at <= acknowledgedAt + drainMilliseconds || run.at < restartedAt + stableMilliseconds)
+            continue;
+        firstLate = firstLate ? firstLate : run.at;
+        ++count;
     }
-    record("keyed requests served meanwhile: " + std::to_string(keyed200) + " of " + std::to_string(keyedAll));
+    require(early > 5, "the server got nothing before it left");
     if (count)
-        broken("CONFIG: the dropped route was served " + std::to_string(count) + " times, the last time "
-            + std::to_string(last) + " ms after the acknowledgement");
+        broken("DRAIN: " + std::to_string(count) + " requests reached i-first, the first of them "
+            + std::to_string(firstLate - acknowledgedAt) + " ms after the acknowledgement and "
+            + std::to_string(firstLate - restartedAt) + " ms after the start of its node");
 }
 
 } // namespace
