Log and count who watches the store, and when membership judges nobody

Four machines that were left of sixteen went on serving a route that an operator had dropped. What a node logged and counted did not tell these apart:

1. the members that are left choose watchers that are gone, since members that most probes miss are taken for alive again (doubt of oneself); 2. a watcher is left, but its store calls fail or its watch hangs; 3. the number is known and the sections cannot be fetched from peers.

The gauges membership_in_doubt and watches_store and the log lines membership-in-doubt, membership-doubt-over, store-watch-begun and store-watch-ended tell the first from the second; the configuration's newest number in the status, which was there, tells the third. No logic is changed.

--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -281,4 +281,10 @@
     return std::as_const(m_state->table).live().size() + (m_state->self.state == MemberState::Alive ? 1 : 0);
 }
 
+bool Membership::inDoubt() const
+{
+    std::lock_guard guard(m_state->lock);
+    return m_state->inDoubt(m_state->clock.now());
+}
+
 } // namespace Vanillaridge
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -72,6 +72,8 @@
     Incarnation incarnation() const;
     /// Members that are alive or suspected, this one included.
     size_t liveMembers() const;
+    /// Whether so few probes are answered that this node may be the one cut off; it judges nobody meanwhile.
+    bool inDoubt() const;
 
 private:
     struct State;
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -105,6 +105,13 @@
     const bool serving = m_parts.control.freshness.mayServeKeyed();
     if (serving != std::exchange(m_wasServing, serving))
         log(serving ? LogLevel::Info : LogLevel::Warning, serving ? "configuration-confirmed" : "configuration-stale");
+    const bool watches = m_parts.control.dissemination.watching();
+    if (watches != std::exchange(m_wasWatching, watches))
+        log(LogLevel::Info, watches ? "store-watch-begun" : "store-watch-ended");
+    const bool doubts = m_parts.control.membership.inDoubt();
+    if (doubts != std::exchange(m_wasInDoubt, doubts))
+        log(LogLevel::Warning, doubts ? "membership-in-doubt" : "membership-doubt-over",
+            { { "live-members", m_parts.control.membership.liveMembers() } });
     auto slots = m_parts.control.quota.heldSlots();
     if (slots != m_heldSlots)
         log(LogLevel::Info, "quota-slots-held", { { "count", slots.size() } });
--- a/src/node/Duties.h
+++ b/src/node/Duties.h
@@ -37,6 +37,8 @@
     Instant m_nextControllers;
     uint64_t m_ticks { 0 };
     bool m_wasServing { true };
+    bool m_wasWatching { false };
+    bool m_wasInDoubt { false };
     std::vector<uint32_t> m_heldSlots;
 };
 
--- a/src/node/Report.cpp
+++ b/src/node/Report.cpp
@@ -112,6 +112,10 @@
         inSeconds(parts.control.freshness.age()));
     appendGauge(text, "store_reachable", "whether the store answers those who watch it",
         board.configuration().freshness().storeReachable);
+    appendGauge(text, "watches_store", "whether this node watches the store for changes of the configuration",
+        parts.control.dissemination.watching());
+    appendGauge(text, "membership_in_doubt", "whether this node judges nobody, since most of its probes fail",
+        parts.control.membership.inDoubt());
     appendGauge(text, "event_loop_lag_seconds", "how late the event loop is", inSeconds(parts.loopLag.value()));
     appendGauge(text, "quota_slots_held", "quota slots that this node holds",
         static_cast<double>(parts.control.quota.heldSlots().size()));
