Ask the store when nobody confirms the configuration

Cause: in doubt of themselves the survivors took the dead for alive again when the suspicions ran out, and chose their zones' watchers among them. That the configuration was unconfirmed refused keys, and led to nothing else: a node that is no watcher waits for those that are.

No call to the store failed, and no newer number was known: that rules out a hanging watch and sections that cannot be fetched.

Change: a node that nobody has confirmed the configuration to for 5 s asks the store, and watches in place of the silent watchers if it answers. The fleet's calls of this kind are spread to 20 a second whatever its size, and none is made while watchers confirm. A node in doubt asks the store as well; an answer ends the doubt, since a node that reaches the store is not cut off.

Why it works: the duty no longer rests on who is held for alive, and the view becomes right again, so that the regular choice does too.

--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -201,7 +201,14 @@
     uint64_t contentHash { 0 };
     /// When somebody read that number from the store, as far as this node knows.
     Instant confirmedAt;
+    /// When a member last brought a later confirmation than this node had.
+    Instant confirmedByOthersAt;
     bool storeReachable { false };
+    /// When the latest call of this node's own that the store answered was made.
+    Instant storeAnsweredAt;
+    /// While most probes of other members fail: the time from which an answer of the store shows that those members are
+    /// gone, rather than this node cut off. The epoch otherwise.
+    Instant reachProofFrom;
     /// A member that has the newest number, to fetch it from.
     Endpoint newestFrom;
     /// Since when a newer configuration than the one in force has been known; the epoch when there is none.
--- a/src/dissemination/Dissemination.cpp
+++ b/src/dissemination/Dissemination.cpp
@@ -41,8 +41,10 @@
     }
     // 2. Watchers look at the store, and so does every node once at its start: a peer may be behind, and a key that was
     // withdrawn must not work again after a restart.
-    const bool isOnDuty = isWatcher && reviewedAt >= firstWatch;
+    const bool isOnDuty = (isWatcher && reviewedAt >= firstWatch) || now < takeoverUntil;
     const bool isStarting = !storeHasAnswered && now < firstWatch;
+    if (now >= firstWatch)
+        reviewSilence(now, effects);
     if (isOnDuty)
         watchManifest(now, effects);
     if ((isOnDuty || isStarting) && now >= nextManifestRead)
@@ -134,7 +136,7 @@
 bool Dissemination::watching() const
 {
     std::lock_guard guard(m_state->lock);
-    return m_state->isWatcher;
+    return m_state->isWatcher || m_state->clock.now() < m_state->takeoverUntil;
 }
 
 } // namespace Vanillaridge
--- a/src/dissemination/Dissemination.h
+++ b/src/dissemination/Dissemination.h
@@ -52,6 +52,13 @@
     Duration silenceLimit { milliseconds(2500) };
     /// Wait after a watch that failed.
     Duration failureWait { seconds(1) };
+    /// Time without any confirmation after which a node that is no watcher asks the store itself, calls of the whole
+    /// fleet per second that may come of this, and the least wait before a node asks again.
+    Duration takeoverAfter { seconds(5) };
+    double takeoverCallsPerSecond { 20 };
+    Duration takeoverRetry { seconds(10) };
+    /// How long a node watches in place of silent watchers before it sees whether others confirm again.
+    Duration takeoverTerm { seconds(30) };
     /// Longest wait for an answer of the store or of a peer.
     Duration answerTimeout { seconds(1) };
     /// Peers tried before the store is asked, and the wait before it is asked again.
--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -61,11 +61,15 @@
 
     // The store's side, in Watching.cpp.
     void reviewDuty();
+    void reviewSilence(Instant now, Effects&);
+    Duration takeoverSpread() const;
+    bool isUnconfirmed(const FreshnessRecord&, Instant now) const;
     void watchManifest(Instant now, Effects&);
     void watchEnded(uint64_t ticket, const StoreResult<StoredObject>&, Instant askedAt);
     void readObject(std::string_view name, PendingCall State::*, Arrival, Instant now, Effects&);
     void readManifest(Instant now, Effects&);
     void manifestArrived(const StoreResult<StoredObject>&, Instant askedAt);
+    void noteStoreAnswer(Instant askedAt);
     void confirm(uint64_t version, Instant askedAt);
     void judge(const StoredObject&, Effects&);
     void writeStatus(Instant now, Effects&);
@@ -100,6 +104,11 @@
     std::vector<std::string> errors;
 
     bool isWatcher { false };
+    size_t liveMembers { 1 };
+    // Until when this node watches although others are chosen, and when it asks the store next while nobody confirms;
+    // the epoch while others do.
+    Instant takeoverUntil;
+    Instant nextTakeover;
     Instant nextReview;
     Instant reviewedAt;
     // Watchers act on reviews from here on.
--- a/src/dissemination/Watching.cpp
+++ b/src/dissemination/Watching.cpp
@@ -59,7 +59,9 @@
             zones[record.said.zone].emplace_back(dutyScore(id, duty), id.value);
     });
     std::vector<uint64_t> watchers;
+    liveMembers = 1;
     for (auto& [zone, members] : zones) {
+        liveMembers += members.size();
         const auto count = std::min<size_t>(settings.watchersPerZone, members.size());
         std::partial_sort(
             members.begin(), members.begin() + static_cast<std::ptrdiff_t>(count), members.end(), std::greater<>());
@@ -70,6 +72,48 @@
     isWatcher = chosen && !board.draining();
 }
 
+// Time over which nodes that miss the same confirmation spread their calls.
+Duration Dissemination::State::takeoverSpread() const
+{
+    const auto period
+        = std::chrono::duration<double>(static_cast<double>(liveMembers) / settings.takeoverCallsPerSecond);
+    return std::chrono::duration_cast<Duration>(period);
+}
+
+// Whether nobody has confirmed the configuration for too long; after a start or a pause others get time to do so.
+bool Dissemination::State::isUnconfirmed(const FreshnessRecord& record, Instant now) const
+{
+    return now - std::max(record.confirmedAt, record.resumedAt) > settings.takeoverAfter;
+}
+
+// Watchers are chosen among the members that this node takes to be alive, and may all be gone or cut off from the
+// store. A node that nobody confirms the configuration to asks the store itself, and goes on as a watcher if it
+// answers.
+void Dissemination::State::reviewSilence(Instant now, Effects& effects)
+{
+    const auto record = board.configuration().freshness();
+    // 1. While this node stands in for the watchers, it sees whether others confirm again.
+    if (takeoverUntil != Instant() && now >= takeoverUntil) {
+        const bool isAlone = now - record.confirmedByOthersAt > settings.takeoverAfter;
+        takeoverUntil = isAlone ? now + random.jittered(settings.takeoverTerm, 0.5) : Instant();
+    }
+    // 2. The store is also asked when its answer would show whether silent members are gone.
+    const bool isSilent = isUnconfirmed(record, now);
+    const bool proofIsDue = record.reachProofFrom != Instant() && now >= record.reachProofFrom
+        && record.storeAnsweredAt < record.reachProofFrom;
+    if (!isSilent && !proofIsDue) {
+        nextTakeover = Instant();
+        return;
+    }
+    // 3. Nodes that miss the same confirmation do not ask all at once: the first answer spreads to the others.
+    if (nextTakeover == Instant())
+        nextTakeover = now + std::chrono::duration_cast<Duration>(random.unit() * takeoverSpread());
+    if (now < nextTakeover)
+        return;
+    nextTakeover = now + random.jittered(std::max(settings.takeoverRetry, takeoverSpread()), 0.5);
+    readManifest(now, effects);
+}
+
 PendingCall Dissemination::State::newCall(Instant now, Duration patience) { return { ++lastTicket, now + patience }; }
 
 // Asks the store for the next change of the manifest. Each end of a watch confirms the number as of its beginning.
@@ -95,6 +139,9 @@
         if (manifestWatch.ticket == ticket)
             manifestWatch = result ? PendingCall()
                                    : PendingCall { ticket, clock.now() + random.jittered(settings.failureWait, 0.5) };
+        // A node that the store does not answer either stands in for nobody.
+        if (!result)
+            takeoverUntil = Instant();
     }
     manifestArrived(result, askedAt);
 }
@@ -147,12 +194,27 @@
         const auto& object = result.value();
         nextManifestRead = clock.now() + random.jittered(settings.silenceLimit, 0.2);
         seenVersion = std::max(seenVersion, object.version);
+        noteStoreAnswer(askedAt);
         if (object.version > std::max(heldNumber(), rejected))
             judge(object, effects);
         confirm(object.version, askedAt);
     });
 }
 
+// The store reaches this node. If nobody has confirmed the configuration for too long, this node goes on to watch it.
+void Dissemination::State::noteStoreAnswer(Instant askedAt)
+{
+    const auto now = clock.now();
+    const bool wasSilent = board.configuration().updateFreshness([&](FreshnessRecord& record) {
+        record.storeAnsweredAt = std::max(record.storeAnsweredAt, askedAt);
+        return isUnconfirmed(record, now);
+    });
+    if (wasSilent && !isWatcher && now >= firstWatch && takeoverUntil == Instant()) {
+        takeoverUntil = now + random.jittered(settings.takeoverTerm, 0.5);
+        board.counters().add(Counter::WatchTakeovers);
+    }
+}
+
 // A manifest that is no newer confirms the configuration in force; an older one is a stale read.
 void Dissemination::State::confirm(uint64_t version, Instant askedAt)
 {
--- a/src/membership/Exchange.cpp
+++ b/src/membership/Exchange.cpp
@@ -105,8 +105,11 @@
             record.newestNumber = news.number;
             record.newestFrom = from;
         }
-        if (askedAt && news.number >= record.newestNumber && news.confirmedAgo < unconfirmedAge)
-            record.confirmedAt = std::max(record.confirmedAt, *askedAt - news.confirmedAgo);
+        const bool confirms = askedAt && news.number >= record.newestNumber && news.confirmedAgo < unconfirmedAge;
+        if (confirms && *askedAt - news.confirmedAgo > record.confirmedAt) {
+            record.confirmedAt = *askedAt - news.confirmedAgo;
+            record.confirmedByOthersAt = now;
+        }
         record.storeReachable = now - record.confirmedAt <= reachableAge;
     });
 }
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -153,6 +153,7 @@
     const auto known = live + static_cast<double>(table.dead().size());
     board.configuration().updateFreshness([&](FreshnessRecord& record) {
         record.reachableShare = known > 0 ? answeredShare * live / known : 1;
+        record.reachProofFrom = reachProofFrom();
         if (known == 0 && contacts.empty())
             record.viewRefreshed = true;
     });
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -31,7 +31,8 @@
     Duration tombstoneTerm { std::chrono::hours(6) };
     /// A gap between two ticks that counts as a pause of this node.
     Duration pauseLimit { seconds(2) };
-    /// Share of answered probes below which this node doubts itself and declares nobody dead, and for how long.
+    /// Share of answered probes below which this node doubts itself and declares nobody dead, and for how long at most:
+    /// an answer of the store to this node ends it.
     double doubtShare { 0.4 };
     Duration doubtLimit { std::chrono::minutes(5) };
     /// Bytes that this node sends per second at most, beyond its probes; and while it learns the fleet.
--- a/src/membership/MembershipState.h
+++ b/src/membership/MembershipState.h
@@ -67,6 +67,7 @@
     void giveLastChance(NodeId, Suspicion&, Instant now, Effects&);
     void noteAnswer(bool answered, Instant now);
     bool inDoubt(Instant now) const;
+    Instant reachProofFrom() const;
     Duration suspicionTimeout() const;
     void answered(const PendingProbe&, Instant now, Effects&);
     void acknowledge(const Endpoint& to, uint64_t sequence, const Endpoint& target, Effects&);
--- a/src/membership/Probing.cpp
+++ b/src/membership/Probing.cpp
@@ -126,10 +126,17 @@
         doubtSince = now;
 }
 
-// Whether failures more likely lie with this node, or its part of the fleet, than with the others.
+// Whether failures more likely lie with this node, or its part of the fleet, than with the others. A node that reaches
+// the store while most members have been silent for as long as a suspect gets is not the one that is cut off.
 bool Membership::State::inDoubt(Instant now) const
 {
-    return doubtSince != Instant() && now - doubtSince < settings.doubtLimit;
+    return doubtSince != Instant() && now - doubtSince < settings.doubtLimit
+        && board.configuration().freshness().storeAnsweredAt < reachProofFrom();
+}
+
+Instant Membership::State::reachProofFrom() const
+{
+    return doubtSince == Instant() ? Instant() : doubtSince + suspicionTimeout();
 }
 
 Duration Membership::State::suspicionTimeout() const
--- a/tests/DisseminationTests.cpp
+++ b/tests/DisseminationTests.cpp
@@ -12,6 +12,11 @@
 
 constexpr uint64_t seed = 20260401;
 constexpr Duration minute = std::chrono::minutes(1);
+// Time for a change to be in force: at the design size, and with the watchers in place.
+constexpr Duration changeLimit = seconds(13);
+constexpr Duration applyLimit = seconds(2);
+
+double toSeconds(Duration span) { return std::chrono::duration<double>(span).count(); }
 
 // A manifest is a list of words; each is a section that declares an account. The word "bad" makes it a bad one.
 class WordCodec final : public ManifestCodec {
@@ -39,15 +44,68 @@
     }
 };
 
-// A fleet whose members disseminate a configuration from one objects.
+// One member's way to the store, which the test can cut.
+class StoreLink final : public ObjectStore {
+public:
+    explicit StoreLink(FakeStore& store)
+        : m_store(store)
+    {
+    }
+
+    bool cut = false;
+
+    void get(std::string_view name, Callback<StoredObject> done) override
+    {
+        if (isOpen(done))
+            m_store.get(name, std::move(done));
+    }
+
+    void list(std::string_view kind, Callback<std::vector<StoredObject>> done) override
+    {
+        if (isOpen(done))
+            m_store.list(kind, std::move(done));
+    }
+
+    void put(std::string_view name, std::string_view value, uint64_t expected, Callback<uint64_t> done) override
+    {
+        if (isOpen(done))
+            m_store.put(name, value, expected, std::move(done));
+    }
+
+    void remove(std::string_view name, uint64_t expected, Callback<uint64_t> done) override
+    {
+        if (isOpen(done))
+            m_store.remove(name, expected, std::move(done));
+    }
+
+    void watch(std::string_view name, uint64_t pastVersion, Duration patience, Callback<StoredObject> done) override
+    {
+        if (isOpen(done))
+            m_store.watch(name, pastVersion, patience, std::move(done));
+    }
+
+private:
+    template <typename Value> bool isOpen(const Callback<Value>& done)
+    {
+        if (cut)
+            done(StoreError::Unreachable);
+        return !cut;
+    }
+
+    FakeStore& m_store;
+};
+
+// A fleet whose members disseminate a configuration from one store.
 struct Story {
     explicit Story(uint64_t seed = ::seed)
         : fleet(seed)
         , random(makeSeededRandom(seed + 1))
     {
         fleet.onStart = [this](FakeMember& member) {
+            auto& link = links[member.board.self().endpoint];
+            link = std::make_unique<StoreLink>(objects);
             auto made = std::make_unique<Dissemination>(
-                member.board, fleet.clock, *random, objects, codec, DisseminationSettings());
+                member.board, fleet.clock, *random, *link, codec, DisseminationSettings());
             disseminations[member.board.self().endpoint] = std::move(made);
             highest[member.board.self().endpoint] = 0;
         };
@@ -96,6 +154,14 @@
         objects.deliver();
     }
 
+    // The patience of all watches runs out; whoever is on duty begins another.
+    void endWatches()
+    {
+        objects.endWatches();
+        objects.deliver();
+        step();
+    }
+
     void run(Duration span)
     {
         for (const auto end = fleet.clock.now() + span; fleet.clock.now() < end;)
@@ -123,6 +189,7 @@
     WordCodec codec;
     FakeFleet fleet;
     std::unique_ptr<RandomSource> random;
+    std::map<Endpoint, std::unique_ptr<StoreLink>> links;
     std::map<Endpoint, std::unique_ptr<Dissemination>> disseminations;
     std::map<Endpoint, uint64_t> highest;
     bool reverted = false;
@@ -133,10 +200,35 @@
     StartedStory()
     {
         first = apply("north south east");
-        fleet.startAll(24);
+        fleet.startAll(size);
         BOOST_REQUIRE(within(minute, [&] { return everywhere(first) && fleet.agrees(); }));
     }
 
+    // Loses all members but one of each zone, none of them a watcher; returns how many are left.
+    size_t killAllButOneOfEachZone()
+    {
+        std::set<ZoneName> kept;
+        for (size_t i = 0; i < size; ++i) {
+            auto& member = fleet.at(i);
+            if (of(member).watching() || !kept.insert(member.board.self().zone).second)
+                fleet.kill(i);
+        }
+        return kept.size();
+    }
+
+    size_t cutWatchersFromStore()
+    {
+        size_t count = 0;
+        fleet.forEach([&](FakeMember& member) {
+            if (!of(member).watching())
+                return;
+            links.at(member.board.self().endpoint)->cut = true;
+            ++count;
+        });
+        return count;
+    }
+
+    static constexpr size_t size = 24;
     uint64_t first = 0;
 };
 
@@ -220,6 +312,91 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a fleet that waits for watchers that are gone, and goes by an old configuration for minutes.
+BOOST_AUTO_TEST_SUITE(WhenAllWatchersAreLostWithMostOfTheFleet)
+
+BOOST_AUTO_TEST_CASE(ThenAChangeIsInForceAtTheOthersInTime)
+{
+    for (const auto span : { seconds(1), seconds(12), seconds(45), seconds(120) }) {
+        BOOST_TEST_CONTEXT(toSeconds(span) << " s after the loss")
+        {
+            StartedStory story;
+            story.run(seconds(20));
+            BOOST_TEST(story.killAllButOneOfEachZone() == 4u);
+            story.run(span);
+            story.endWatches();
+            const auto changed = story.apply("north");
+            BOOST_TEST(story.within(changeLimit, [&] { return story.everywhere(changed); }));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheLostAreSoonHeldForDead)
+{
+    run(seconds(20));
+    killAllButOneOfEachZone();
+    run(minute + seconds(30));
+    BOOST_TEST(fleet.agrees());
+    // From then on the watchers are chosen among those that are left.
+    fleet.forEach([&](FakeMember& member) { BOOST_TEST(of(member).watching()); });
+    endWatches();
+    const auto changed = apply("north");
+    BOOST_TEST(within(applyLimit, [&] { return everywhere(changed); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// The same with watchers that are alive: nothing tells the others that they do not reach the store.
+BOOST_AUTO_TEST_SUITE(WhenAllWatchersAreCutOffFromTheStore)
+
+BOOST_AUTO_TEST_CASE(ThenOthersConfirmInTheirPlace)
+{
+    run(seconds(20));
+    const auto watchers = cutWatchersFromStore();
+    BOOST_TEST(watchers == 8u);
+    run(seconds(20));
+    endWatches();
+    const auto changed = apply("north");
+    BOOST_TEST(within(changeLimit, [&] { return everywhere(changed); }));
+    for (int i = 0; i < 30; ++i) {
+        run(seconds(2));
+        fleet.forEach([&](FakeMember& member) {
+            const auto age = fleet.clock.now() - member.board.configuration().freshness().confirmedAt;
+            BOOST_TEST(toSeconds(age) < 15.0);
+        });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheyStopOnceTheWatchersConfirmAgain)
+{
+    run(seconds(20));
+    cutWatchersFromStore();
+    run(seconds(60));
+    for (auto& [endpoint, link] : links)
+        link->cut = false;
+    run(2 * minute);
+    size_t watchers = 0;
+    fleet.forEach([&](FakeMember& member) { watchers += of(member).watching() ? 1 : 0; });
+    BOOST_TEST(watchers == 8u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheStoreIsSilentForEverybody)
+
+BOOST_AUTO_TEST_CASE(ThenTheOthersAskItSeldom)
+{
+    run(seconds(20));
+    objects.down = true;
+    run(seconds(10));
+    const auto before = objects.calls;
+    run(minute);
+    // The 8 watchers as ever, once or twice a second; the 16 others at most once in five seconds.
+    BOOST_TEST(objects.calls - before <= 60 * 8 * 2 + 16 * 12);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheStoreMisbehaves)
 
 BOOST_AUTO_TEST_CASE(ThenSilentWatchesDelayAChangeBySecondsOnly)
