Read sections of a configuration without a second set of limits

Cause: sections from peers were checked as a manifest of our own, by limits that the reader of the store's object does not have, and a number that a node rejected counted there as held: it was neither behind nor stale.

Evidence: status and metrics in a run of the case on the code as found: at two nodes one configuration rejected, one section fetched, number 2 in force and 23 the newest, keyed requests served; at the others 23 and none rejected. That rules out messages that are too long and hashes that do not match.

Change: sections are read back to the declarations that they were cut from, without ranges and checks across tables, in the same order on all nodes. A node that cannot read them stays behind, logs it and reads the object itself. Whoever goes by a lower number than members do is behind, whatever it thinks of theirs. Rejections are logged.

Why it works: what one node took, all can take, and where that fails the node no longer counts as up to date.

Siblings: names, characters, paths, keys listed twice, times, weights, rows of one name and their order differed as well; one property test covers them.

--- a/src/board/Counters.cpp
+++ b/src/board/Counters.cpp
@@ -52,6 +52,8 @@
         { Counter::ConfigurationsAdopted, "configurations_adopted", "configurations put in force" },
         { Counter::ConfigurationsRejected, "configurations_rejected", "configurations that failed their checks" },
         { Counter::SectionsFetched, "sections_fetched", "configuration sections fetched from other nodes" },
+        { Counter::SectionsUnreadable, "sections_unreadable",
+            "configurations that could not be read from the sections of other nodes" },
         { Counter::WatchTakeovers, "watch_takeovers", "times this node began to watch the store for silent watchers" },
         { Counter::StoreCalls, "store_calls", "calls to the object store" },
         { Counter::StoreFailures, "store_failures", "calls to the store that failed or timed out" },
--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -51,6 +51,7 @@
     ConfigurationsAdopted,
     ConfigurationsRejected,
     SectionsFetched,
+    SectionsUnreadable,
     WatchTakeovers,
     // Object store.
     StoreCalls,
--- a/src/dissemination/Dissemination.cpp
+++ b/src/dissemination/Dissemination.cpp
@@ -1,5 +1,7 @@
 #include "dissemination/DisseminationState.h"
 
+#include "log/Log.h"
+
 namespace Vanillaridge {
 
 Dissemination::State::State(Board& board, const Clock& clock, RandomSource& random, ObjectStore& objects,
@@ -56,11 +58,11 @@
         fetch(now, effects);
 }
 
-// A number that was found bad here is not waited for.
+// Whether members go by a newer configuration. A number that nobody holds, since it was found bad, is not waited for.
 void Dissemination::State::noteBehind(Instant now)
 {
     board.configuration().updateFreshness([&](FreshnessRecord& record) {
-        const auto behind = record.newestNumber > std::max(heldNumber(), rejected);
+        const auto behind = record.newestNumber > heldNumber();
         if (!behind)
             record.behindSince = Instant();
         else if (record.behindSince == Instant())
@@ -68,6 +70,12 @@
     });
 }
 
+void Dissemination::State::logRejected(uint64_t number, std::string_view error) const
+{
+    log(LogLevel::Error, "configuration-rejected",
+        { { "number", number }, { "in-force", heldNumber() }, { "error", error } });
+}
+
 // Puts a checked manifest in force, unless it is bad or not newer.
 std::vector<std::string> Dissemination::State::take(uint64_t number, CheckedManifest checked, Effects& effects)
 {
@@ -75,6 +83,7 @@
         board.counters().add(Counter::ConfigurationsRejected);
         rejected = std::max(rejected, number);
         errors = checked.errors.empty() ? std::vector<std::string> { "the manifest cannot be read" } : checked.errors;
+        logRejected(number, errors.front());
         return errors;
     }
     auto next = std::make_shared<const Configuration>(number, std::move(*checked.declarations));
--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -57,6 +57,7 @@
     void tick(Instant now, Effects&);
     void noteBehind(Instant now);
     std::vector<std::string> take(uint64_t number, CheckedManifest, Effects&);
+    void logRejected(uint64_t number, std::string_view error) const;
     uint64_t heldNumber() const { return store.number(); }
 
     // The store's side, in Watching.cpp.
@@ -83,6 +84,7 @@
     std::optional<Endpoint> drawPeer();
     void requestSections(Instant now, Effects&);
     void finishFetch(Effects&);
+    void noteUnreadable(uint64_t number, const CheckedManifest&, Effects&);
     void handle(const Endpoint& from, const SectionListRequest&, Effects&);
     void handle(const Endpoint& from, const SectionList&, Instant now, Effects&);
     void handle(const Endpoint& from, const SectionRequest&, Effects&);
@@ -99,7 +101,8 @@
     mutable std::mutex lock;
     Listener listener;
     SectionStore store;
-    // Highest number that was found bad here, and why.
+    // Highest number of an object that was found bad here, and why. Nothing is held for it: if others go by that
+    // number, this node is behind.
     uint64_t rejected { 0 };
     std::vector<std::string> errors;
 
--- a/src/dissemination/Fetching.cpp
+++ b/src/dissemination/Fetching.cpp
@@ -1,6 +1,8 @@
 // Fetching a configuration from peers, and giving it to them.
 #include "dissemination/DisseminationState.h"
 
+#include "log/Log.h"
+
 #include <algorithm>
 
 namespace Vanillaridge {
@@ -8,7 +10,7 @@
 void Dissemination::State::fetch(Instant now, Effects& effects)
 {
     const auto record = board.configuration().freshness();
-    if (record.newestNumber <= std::max(heldNumber(), rejected)) {
+    if (record.newestNumber <= heldNumber()) {
         fetching.reset();
         return;
     }
@@ -158,10 +160,29 @@
     }
     const auto number = fetching->number;
     auto checked = codec.assemble(sections);
+    if (!checked.declarations) {
+        noteUnreadable(number, checked, effects);
+        return;
+    }
     // What peers hold is kept as they sent it, so that the hashes stay theirs.
     checked.sections = std::move(sections);
     fetching.reset();
     take(number, std::move(checked), effects);
 }
 
+// The fleet goes by a configuration that this node cannot read from sections: it stays behind, and reads the object.
+void Dissemination::State::noteUnreadable(uint64_t number, const CheckedManifest& checked, Effects& effects)
+{
+    board.counters().add(Counter::SectionsUnreadable);
+    log(LogLevel::Error, "configuration-sections-unreadable",
+        { { "number", number }, { "peer", fetching->peer },
+            { "error", checked.errors.empty() ? std::string() : checked.errors.front() } });
+    const auto now = clock.now();
+    fetching->peer.clear();
+    fetching->hashes.clear();
+    fetching->arrived.clear();
+    fetching->deadline = now + random.jittered(settings.storeRetry, 0.5);
+    readManifest(now, effects);
+}
+
 } // namespace Vanillaridge
--- a/src/dissemination/Watching.cpp
+++ b/src/dissemination/Watching.cpp
@@ -220,7 +220,7 @@
 {
     const auto judged = std::max(heldNumber(), rejected);
     board.configuration().updateFreshness([&](FreshnessRecord& record) {
-        if (version > judged || version < record.newestNumber || record.newestNumber > judged)
+        if (version > judged || version < record.newestNumber || record.newestNumber > heldNumber())
             return;
         record.confirmedAt = std::max(record.confirmedAt, askedAt);
         record.storeReachable = true;
--- a/src/manifest/Checks.cpp
+++ b/src/manifest/Checks.cpp
@@ -14,6 +14,7 @@
     // evenly at the rate.
     constexpr double leastBurstTime = 0.1;
     constexpr size_t longestName = 64;
+    constexpr double mostWeight = 1e9;
 
     bool isNameCharacter(char character)
     {
@@ -121,6 +122,9 @@
         for (size_t i = 0; i < route.shares.size(); ++i) {
             checkKnown("service", route.shares[i].service, services, table, table.place("shares", i));
             weights += route.shares[i].weight;
+            if (route.shares[i].weight > mostWeight)
+                table.report(table.place("shares", i), "a weight is out of range",
+                    fmt::format("a weight from 0 to {}", mostWeight));
         }
         if (!route.shares.empty() && weights <= 0)
             table.report(table.place("shares"), "no share has a weight above 0", "shares = [\"reports:1\"]");
--- a/src/manifest/Fields.cpp
+++ b/src/manifest/Fields.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace Vanillaridge {
@@ -17,7 +18,6 @@
     constexpr double mostKeys = 256;
     constexpr double longestHost = 253;
     constexpr double mostShares = 64;
-    constexpr double mostWeight = 1e9;
     constexpr double mostAccounts = 10000;
     constexpr double secondsPerHour = 3600;
     constexpr double oneGibibyte = 1 << 30;
@@ -70,12 +70,12 @@
     bool readShare(Route& route, std::string_view text)
     {
         const auto colon = text.rfind(':');
-        if (colon == std::string_view::npos || colon == 0)
+        if (colon == std::string_view::npos)
             return false;
         RouteShare share { ServiceName(text.substr(0, colon)), 0 };
         const auto [end, error] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), share.weight);
         if (error != std::errc() || end != text.data() + text.size() || !(share.weight >= 0)
-            || share.weight > mostWeight)
+            || !std::isfinite(share.weight))
             return false;
         route.shares.push_back(std::move(share));
         return true;
--- a/src/manifest/Manifest.cpp
+++ b/src/manifest/Manifest.cpp
@@ -2,6 +2,8 @@
 #include "manifest/Fields.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 
 namespace Vanillaridge {
 
@@ -11,6 +13,19 @@
     constexpr std::string_view routeKind = "route";
     constexpr std::string_view serviceKind = "service";
     constexpr std::string_view policyKind = "policy";
+    // Ends the name of a section whose name is taken.
+    constexpr char repeatedName = '#';
+
+    // The fields without the ranges that operators' manifests are held to.
+    template <typename Row> std::vector<Field<Row>> withoutRanges(std::span<const Field<Row>> fields)
+    {
+        std::vector<Field<Row>> unbounded(fields.begin(), fields.end());
+        for (auto& field : unbounded) {
+            const bool isWord = std::holds_alternative<uint32_t Row::*>(field.member);
+            field.range = { 0, isWord ? std::numeric_limits<uint32_t>::max() : std::numeric_limits<double>::max() };
+        }
+        return unbounded;
+    }
 
     // Reads all tables of one kind, each under its own name.
     template <typename Row>
@@ -51,6 +66,20 @@
         }
     }
 
+    // Reads the tables of one kind in a section, and adds their rows.
+    template <typename Row>
+    void addRows(std::vector<Row>& rows, TableReader& root, std::string_view kind, std::span<const Field<Row>> fields)
+    {
+        for (auto& row : rowsOf(readRows(root, kind, fields)))
+            rows.push_back(std::move(row));
+    }
+
+    template <typename Row> void sortRows(std::vector<Row>& rows)
+    {
+        std::stable_sort(
+            rows.begin(), rows.end(), [](const Row& left, const Row& right) { return left.name < right.name; });
+    }
+
     // A route without accounts must not write an empty list, which the checks refuse.
     std::string withoutEmptyAccounts(std::string text)
     {
@@ -100,6 +129,12 @@
     addSections(sections, serviceKind, declarations.services, serviceFields());
     for (auto& section : sections)
         section = makeSection(std::move(section.name), withoutEmptyAccounts(std::move(section.text)));
+    // Rows of the same name keep their order, each in a section of its own.
+    std::set<std::string> names;
+    for (auto& section : sections) {
+        while (!names.insert(section.name).second)
+            section.name += repeatedName;
+    }
     std::sort(sections.begin(), sections.end(),
         [](const ManifestSection& left, const ManifestSection& right) { return left.name < right.name; });
     return sections;
@@ -111,17 +146,39 @@
     return result ? sectionsOf(result.declarations()) : std::vector<ManifestSection> {};
 }
 
+void sortByName(Declarations& declarations)
+{
+    sortRows(declarations.accounts);
+    sortRows(declarations.routes);
+    sortRows(declarations.services);
+}
+
+// Whoever wrote the sections has checked them as a manifest. A second set of limits here would keep this node from a
+// configuration that others go by.
 ManifestResult assembleSections(std::span<const ManifestSection> sections)
 {
-    constexpr std::string_view fileName = "sections";
-    std::string text;
+    static const auto s_accountFields = withoutRanges(accountFields());
+    static const auto s_routeFields = withoutRanges(routeFields());
+    static const auto s_serviceFields = withoutRanges(serviceFields());
+    static const auto s_policyFields = withoutRanges(policyFields());
+    Declarations declarations;
     for (const auto& section : sections) {
         if (section.hash != stableHash(section.text))
-            return std::vector<ManifestProblem> { { std::string(fileName), 1, 1,
+            return std::vector<ManifestProblem> { { section.name, 1, 1,
                 "section " + inQuotes(section.name) + " does not match its hash", "the section as it was split" } };
-        text.append(section.text).append("\n");
+        const Document document(section.text, section.name);
+        auto root = document.root();
+        addRows<ClientAccount>(declarations.accounts, root, accountKind, s_accountFields);
+        addRows<Route>(declarations.routes, root, routeKind, s_routeFields);
+        addRows<Service>(declarations.services, root, serviceKind, s_serviceFields);
+        if (auto policy = root.table(policyKind))
+            readFields<Policy>(*policy, declarations.policy, s_policyFields);
+        root.reportUnknown();
+        if (auto problems = document.problems(); !problems.empty())
+            return problems;
     }
-    return checkManifest(text, fileName);
+    sortByName(declarations);
+    return declarations;
 }
 
 uint64_t contentHashOf(std::span<const ManifestSection> sections)
--- a/src/manifest/Manifest.h
+++ b/src/manifest/Manifest.h
@@ -39,8 +39,12 @@
 std::vector<ManifestSection> sectionsOf(const Declarations&);
 /// The sections of a manifest; none when it has problems.
 std::vector<ManifestSection> splitIntoSections(std::string_view text);
-/// Checks sections as one manifest again. A section whose hash is not that of its text is a problem.
+/// Reads sections back to the declarations that they were made of, sorted by name. Only what cannot be read is a
+/// problem, or a section whose hash is not that of its text: the declarations were checked before they were cut into
+/// sections, and not always by checkManifest().
 ManifestResult assembleSections(std::span<const ManifestSection>);
+/// Sorts accounts, routes and services by name; those of the same name keep their order.
+void sortByName(Declarations&);
 /// One hash for all sections together, whatever their order.
 uint64_t contentHashOf(std::span<const ManifestSection>);
 
--- a/src/node/ManifestReader.cpp
+++ b/src/node/ManifestReader.cpp
@@ -18,6 +18,8 @@
             return checked;
         }
         checked.declarations = result.declarations();
+        // The order that sections are read back in, so that all nodes go by the same value.
+        sortByName(*checked.declarations);
         for (auto& section : sectionsOf(result.declarations()))
             checked.sections.push_back({ std::move(section.name), std::move(section.text) });
         return checked;
--- a/tests/DisseminationTests.cpp
+++ b/tests/DisseminationTests.cpp
@@ -18,7 +18,8 @@
 
 double toSeconds(Duration span) { return std::chrono::duration<double>(span).count(); }
 
-// A manifest is a list of words; each is a section that declares an account. The word "bad" makes it a bad one.
+// A manifest is a list of words; each is a section that declares an account. The word "bad" makes it a bad one; the
+// word "unfit" can be read from the manifest and not from its section.
 class WordCodec final : public ManifestCodec {
 public:
     CheckedManifest check(std::string_view text) const override
@@ -29,14 +30,20 @@
             text.remove_prefix(std::min(text.size(), word.size() + 1));
             sections.push_back({ "account/" + word, word });
         }
-        return assemble(sections);
+        return declare(sections, "bad");
     }
 
     CheckedManifest assemble(std::span<const ConfigurationSection> sections) const override
+    {
+        return declare(sections, "unfit");
+    }
+
+private:
+    static CheckedManifest declare(std::span<const ConfigurationSection> sections, std::string_view refused)
     {
         Declarations declarations;
         for (const auto& section : sections) {
-            if (section.text == "bad")
+            if (section.text == refused)
                 return { std::nullopt, {}, { "line 1: bad" } };
             declarations.accounts.push_back({ section.text, 1, 1, {} });
         }
@@ -296,6 +303,41 @@
         [&](FakeMember& member) { BOOST_TEST(member.board.counters().value(Counter::SectionsFetched) <= 4u); });
 }
 
+// Guards against nodes that count a configuration which they could not read from peers as one that they hold.
+BOOST_AUTO_TEST_CASE(ThenMembersThatCannotReadItsSectionsTakeItFromTheStore)
+{
+    run(seconds(5));
+    const auto calls = objects.calls;
+    const auto second = apply("north unfit");
+    BOOST_TEST(within(seconds(5), [&] { return everywhere(second); }));
+    uint64_t unreadable = 0;
+    fleet.forEach([&](FakeMember& member) {
+        unreadable += member.board.counters().value(Counter::SectionsUnreadable);
+        BOOST_TEST(member.board.counters().value(Counter::ConfigurationsRejected) == 0u);
+    });
+    BOOST_TEST(unreadable == 16u);
+    // The 8 watchers as ever, and a reading for each of the others.
+    BOOST_TEST(objects.calls - calls <= 5 * 8 * 2 + 16);
+}
+
+BOOST_AUTO_TEST_CASE(ThenAMemberThatRejectsWhatOthersHoldIsBehind)
+{
+    Board board({ "10.9.9.9:7000", "zone-0", { 77 }, { 1 } });
+    Dissemination lone(board, fleet.clock, *random, objects, codec, {});
+    BOOST_TEST(lone.adopt(first, "north south east").empty());
+    const auto bad = apply("bad");
+    board.configuration().updateFreshness([&](FreshnessRecord& record) { record.newestNumber = bad; });
+    for (int i = 0; i < 50; ++i) {
+        fleet.clock.advance(milliseconds(100));
+        lone.tick();
+        objects.deliver();
+    }
+    const auto record = board.configuration().freshness();
+    BOOST_TEST(board.counters().value(Counter::ConfigurationsRejected) == 1u);
+    BOOST_TEST((record.behindSince != Instant()));
+    BOOST_TEST((record.confirmedAt == Instant()));
+}
+
 BOOST_AUTO_TEST_CASE(ThenABadOneChangesNothingAndIsReported)
 {
     const auto bad = apply("north bad");
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -100,6 +100,50 @@
     return platformDialect().serverNews(headOf("POST", path), json::serialize(body));
 }
 
+// A name, path or key of any characters that JSON can hold, at times a long one.
+std::string anyText()
+{
+    const std::vector<std::string> pieces { "a", "Z", "7", "-", "_", ".", "/", "%2F", " ", "\"", "\\", "#", "*", "'",
+        "[", "=", "\n", "\u00e4", "\u0e01", std::string(70, 'x') };
+    std::string text;
+    const auto count = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < count; ++i)
+        text += *rc::gen::elementOf(pieces);
+    return text;
+}
+
+// What the operators' page leaves open: names, paths, long times, weights, and the number of keys and routes.
+json::object anyConfiguration()
+{
+    json::array tenants;
+    json::array routes;
+    json::array services;
+    for (int i = *rc::gen::inRange(1, 4); i > 0; --i) {
+        json::array keys;
+        for (int key = *rc::gen::inRange(0, 400); key > 0; --key)
+            keys.emplace_back(key % 7 ? "key-" + std::to_string(key) : "repeated");
+        tenants.push_back(json::object { { "name", anyText() }, { "api-keys", std::move(keys) },
+            { "priority", *rc::gen::inRange(0, 9) }, { "rate-per-s", *rc::gen::inRange(0, 2'000'000'000) / 7.0 },
+            { "burst", *rc::gen::inRange(0, 2'000'000'000) } });
+        services.push_back(json::object { { "name", anyText() }, { "max-connections", 826 } });
+    }
+    for (int i = *rc::gen::inRange(1, 6); i > 0; --i) {
+        json::object route { { "name", anyText() }, { "host", anyText() }, { "path-prefix", '/' + anyText() + '/' },
+            { "route-type", "idempotent" }, { "timeout-ms", *rc::gen::inRange<int64_t>(0, 1'000'000'000'000) },
+            { "target-latency-ms", *rc::gen::inRange(0, 1'000'000'000) }, { "priority", *rc::gen::inRange(0, 9) },
+            { "attempts", *rc::gen::inRange(0, 100) }, { "public", *rc::gen::arbitrary<bool>() } };
+        if (*rc::gen::arbitrary<bool>()) {
+            route["split"] = json::array { json::object { { "service", anyText() }, { "weight", 1e12 } },
+                json::object { { "service", anyText() }, { "weight", *rc::gen::inRange(0, 1000) / 3.0 } } };
+        } else {
+            route["service"] = anyText();
+        }
+        routes.push_back(std::move(route));
+    }
+    return { { "version", 3 }, { "routes", std::move(routes) }, { "services", std::move(services) },
+        { "tenants", std::move(tenants) }, { "limits", json::object { { "max-body-bytes", 1e30 } } } };
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GivenAnOperatorsConfiguration)
@@ -147,6 +191,34 @@
     BOOST_TEST((sectionsOf(again.declarations()) == sectionsOf(declared)));
 }
 
+// Guards against nodes that read a configuration from peers by narrower limits than those that read it from the store.
+BOOST_AUTO_TEST_CASE(ThenItIsReadFromSectionsToTheSameValue)
+{
+    BOOST_TEST(rc::check("the store's object and its sections give the same declarations", [] {
+        const auto declared = readOperatorConfiguration(json::serialize(anyConfiguration()));
+        RC_ASSERT(bool(declared));
+        auto expected = declared.declarations();
+        sortByName(expected);
+        const auto again = assembleSections(sectionsOf(declared.declarations()));
+        for (const auto& problem : again.problems())
+            RC_LOG(toText(problem));
+        RC_ASSERT(bool(again));
+        RC_ASSERT(again.declarations() == expected);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheNumberOfItsKeysIsNotLimited)
+{
+    auto value = json::parse(configuration).as_object();
+    auto& keys = value["tenants"].as_array()[0].as_object()["api-keys"].as_array();
+    for (int i = 0; i < 5000; ++i)
+        keys.emplace_back("key-" + std::to_string(i));
+    const auto declared = readOperatorConfiguration(json::serialize(value)).declarations();
+    const auto again = assembleSections(sectionsOf(declared));
+    BOOST_REQUIRE(again);
+    BOOST_TEST(again.declarations().accounts[0].keys.size() == declared.accounts[0].keys.size());
+}
+
 BOOST_AUTO_TEST_CASE(ThenAllRoutesAreOpenWhereThereAreNoKeys)
 {
     auto value = json::parse(configuration).as_object();
