Keep the departures of backend servers in the store

Cause: who had left was known to the process alone, and the next one takes any word as new.

Change: a departure goes into the node's own entry in the store before it is acknowledged, for 0.5 s at most. A process that starts reads its entry before it believes a server that has a life, for 3 s at most. An instance is not taken up again in a life that has ended.

Why it works: the promise outlives the process that made it, and is read before anything that could break it.

Calls to the store: one read for each start of a node, one write for each server that leaves.

Siblings: a draining heartbeat in place of the farewell, and a farewell to a process that did not know the server, had the same fault; both are tested.

--- a/src/announcement/Announcement.cpp
+++ b/src/announcement/Announcement.cpp
@@ -38,6 +38,26 @@
         return true;
     }
 
+    // Whether the instance has left in the life that the news are from, or in a later one.
+    bool hasLeft(const ServerNews& news) const
+    {
+        bool left = false;
+        board.departures().visit(
+            stableHash(news.instance), [&](const DepartureRecord& departure) { left = news.life <= departure.life; });
+        return news.life && left;
+    }
+
+    // Keeps an instance from being taken up again by what it said before it left.
+    void noteDeparture(const ServerNews& news)
+    {
+        if (!news.life || news.instance.empty())
+            return;
+        board.departures().update(stableHash(news.instance), [&](DepartureRecord& departure) {
+            departure.life = std::max(departure.life, news.life);
+            departure.notedAt = clock.now();
+        });
+    }
+
     // The service of an instance that says it has left, unless another one has come in its place.
     std::optional<ServiceName> noteLeaving(const ServerNews& news)
     {
@@ -115,6 +135,8 @@
 {
     const auto outcome = [](bool known) { return known ? NewsOutcome::Changed : NewsOutcome::Unknown; };
     if (news.kind == ServerNews::Kind::Withdraw) {
+        // Also of an instance that this process does not know: what it said before may still come.
+        m_state->noteDeparture(news);
         const auto service = m_state->noteLeaving(news);
         return service ? outcome(withdraw(*service)) : NewsOutcome::Outdated;
     }
@@ -122,6 +144,8 @@
         return renew(news.service) ? NewsOutcome::Renewed : NewsOutcome::Unknown;
     if (!m_state->isNewer(news))
         return NewsOutcome::Outdated;
+    if (news.kind == ServerNews::Kind::Drain)
+        m_state->noteDeparture(news);
 
     // 1. What another one left behind here is gone.
     auto& servers = m_state->board.localServers();
@@ -132,7 +156,9 @@
     if (news.kind == ServerNews::Kind::Drain)
         return outcome(drain(news.service));
 
-    // 2. What this one says.
+    // 2. What this one says, unless it said before that it leaves.
+    if (!known && m_state->hasLeft(news))
+        return NewsOutcome::Outdated;
     announce(news.service, news.endpoint, news.slots, news.term);
     servers.visit(news.service, [&](LocalServerRecord& record) {
         record.instance = news.instance;
@@ -143,6 +169,25 @@
     return known ? NewsOutcome::Renewed : NewsOutcome::Changed;
 }
 
+bool LocalServers::isDeparture(const ServerNews& news)
+{
+    const bool leaves = news.kind == ServerNews::Kind::Drain || news.kind == ServerNews::Kind::Withdraw;
+    return leaves && news.life && !news.instance.empty();
+}
+
+std::vector<ServiceName> LocalServers::dropDeparted()
+{
+    std::vector<ServiceName> dropped;
+    m_state->board.localServers().eraseIf([&](const ServiceName& service, const LocalServerRecord& record) {
+        const ServerNews news { .service = service, .instance = record.instance, .life = record.life };
+        const bool isDeparted = !record.announcement.draining && m_state->hasLeft(news);
+        if (isDeparted)
+            dropped.push_back(service);
+        return isDeparted;
+    });
+    return dropped;
+}
+
 std::vector<ServiceName> LocalServers::expire()
 {
     const auto now = m_state->clock.now();
--- a/src/announcement/Announcement.h
+++ b/src/announcement/Announcement.h
@@ -1,7 +1,8 @@
 /// Backend servers that announce themselves to the node beside them.
 ///
 /// Each announcement has a term and lapses unless it is renewed. The facts stand in board.localServers(), from where
-/// membership spreads them and the guard takes them.
+/// membership spreads them and the guard takes them. Lives that have ended stand in board.departures(), which Directory
+/// keeps in the store, so that a late announcement brings no server back after a restart.
 #pragma once
 
 #include "board/Board.h"
@@ -63,6 +64,11 @@
     bool withdraw(std::string_view service);
     /// Takes whatever a backend server tells. News that were overtaken by later ones change nothing.
     NewsOutcome take(const ServerNews&);
+    /// Whether the news say that a backend server leaves in a way that outlives this process: with its name and life.
+    static bool isDeparture(const ServerNews&);
+    /// Drops announcements of lives that board.departures() says have ended, as it does once an earlier process's
+    /// departures are known; returns their services.
+    std::vector<ServiceName> dropDeparted();
     /// Drops announcements whose term has run out; returns their services.
     std::vector<ServiceName> expire();
 
--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -53,6 +53,7 @@
     Sharded<NodeId, MemberRecord> members;
     Sharded<ServiceName, ServerGroup> servers;
     Sharded<ServiceName, LocalServerRecord> localServers;
+    Sharded<uint64_t, DepartureRecord> departures;
     Sharded<FlowKey, ShedRecord> shedRecords;
     Sharded<RouteName, RouteCallsRecord> routeCalls;
     Sharded<RequestId, EntryRecord> entries;
@@ -83,6 +84,8 @@
 
 Sharded<ServiceName, LocalServerRecord>& Board::localServers() { return m_facts->localServers; }
 
+Sharded<uint64_t, DepartureRecord>& Board::departures() { return m_facts->departures; }
+
 Sharded<FlowKey, ShedRecord>& Board::shedRecords() { return m_facts->shedRecords; }
 
 Sharded<RouteName, RouteCallsRecord>& Board::routeCalls() { return m_facts->routeCalls; }
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -78,6 +78,8 @@
     Sharded<ServiceName, ServerGroup>& servers();
     /// Backend servers that announced themselves here, by service.
     Sharded<ServiceName, LocalServerRecord>& localServers();
+    /// Backend servers that have left this node, by the stable hash of their own name for themselves.
+    Sharded<uint64_t, DepartureRecord>& departures();
     /// Shed levels told by answers, by route and account.
     Sharded<FlowKey, ShedRecord>& shedRecords();
     Sharded<RouteName, RouteCallsRecord>& routeCalls();
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -64,6 +64,12 @@
     std::optional<Duration> coldLeft {};
 };
 
+/// The latest life of a backend server that has said that it leaves, or has left. It is not used again in that life.
+struct DepartureRecord {
+    uint64_t life { 0 };
+    Instant notedAt;
+};
+
 // --- Load further down --------------------------------------------------------------------------------------------
 
 /// Requests that share a shed level: those of one account on one route.
--- a/src/dissemination/Directory.cpp
+++ b/src/dissemination/Directory.cpp
@@ -1,6 +1,8 @@
 #include "dissemination/Dissemination.h"
 
 #include <algorithm>
+#include <atomic>
+#include <charconv>
 #include <mutex>
 
 namespace Vanillaridge {
@@ -23,6 +25,51 @@
         return name;
     }
 
+    // Starts a line of an entry that tells of a departure: the hash of the backend server's name, and its life.
+    constexpr std::string_view departureLine = "\ndeparted ";
+
+    // The endpoint that an entry is of; the first of its lines.
+    std::string_view endpointIn(std::string_view entry) { return entry.substr(0, entry.find('\n')); }
+
+    // Puts the departures that an entry tells of on the board. A line that cannot be read tells of none.
+    void readDepartures(std::string_view entry, Board& board, Instant now)
+    {
+        for (auto at = entry.find(departureLine); at != std::string_view::npos; at = entry.find(departureLine, at)) {
+            at += departureLine.size();
+            uint64_t server = 0;
+            uint64_t life = 0;
+            const auto* end = entry.data() + entry.size();
+            const auto first = std::from_chars(entry.data() + at, end, server);
+            if (first.ec != std::errc() || first.ptr == end || *first.ptr != ' ')
+                continue;
+            if (std::from_chars(first.ptr + 1, end, life).ec != std::errc())
+                continue;
+            board.departures().update(server, [&](DepartureRecord& departure) {
+                departure.life = std::max(departure.life, life);
+                departure.notedAt = std::max(departure.notedAt, now);
+            });
+        }
+    }
+
+    // An entry with the latest departures of the board, in the order of their servers.
+    std::string entryText(Board& board, size_t departuresKept)
+    {
+        std::vector<std::pair<uint64_t, DepartureRecord>> departures;
+        board.departures().forEach(
+            [&](uint64_t server, const DepartureRecord& departure) { departures.emplace_back(server, departure); });
+        std::ranges::sort(
+            departures, std::greater(), [](const auto& entry) { return std::pair(entry.second.notedAt, entry.first); });
+        departures.resize(std::min(departures.size(), departuresKept));
+        std::ranges::sort(departures, std::less(), [](const auto& entry) { return entry.first; });
+        std::string text = board.self().endpoint;
+        for (const auto& [server, departure] : departures)
+            text.append(departureLine)
+                .append(std::to_string(server))
+                .append(" ")
+                .append(std::to_string(departure.life));
+        return text;
+    }
+
     bool isEndpoint(std::string_view text)
     {
         return !text.empty() && text.size() <= endpointLimit && text.find(':') != std::string_view::npos;
@@ -56,16 +103,21 @@
         return alone;
     }
 
-    // An entry that is there already says the same: it was written by an earlier life of this node.
+    // An entry that is there already names the same endpoint: it was written by an earlier process of this node.
     void writeEntry()
     {
-        objects.put(objectName(board.self().endpoint), board.self().endpoint, absentVersion,
-            [weak = weak_from_this()](const StoreResult<uint64_t>& result) {
+        const auto text = entryText(board, settings.departuresKept);
+        objects.put(objectName(board.self().endpoint), text, absentVersion,
+            [weak = weak_from_this(), text](const StoreResult<uint64_t>& result) {
                 const auto self = weak.lock();
                 if (!self || (!result && result.error() != StoreError::Conflict))
                     return;
                 std::lock_guard guard(self->lock);
                 self->entryWritten = true;
+                if (result) {
+                    self->ownVersion = result.value();
+                    self->storedEntry = text;
+                }
                 self->nextEntry = self->clock.now() + self->random.jittered(self->settings.reviewPeriod, 0.2);
             });
     }
@@ -78,8 +130,9 @@
                 return;
             std::vector<Endpoint> endpoints;
             for (const auto& object : result.value()) {
-                if (isEndpoint(object.value))
-                    endpoints.push_back(object.value);
+                const auto endpoint = endpointIn(object.value);
+                if (isEndpoint(endpoint))
+                    endpoints.emplace_back(endpoint);
             }
             self->noteOwnEntry(std::ranges::find(endpoints, self->board.self().endpoint) != endpoints.end());
             if (self->listener)
@@ -118,7 +171,7 @@
                 return;
             size_t removed = 0;
             for (const auto& object : result.value()) {
-                if (removed < removalsPerReview && self->isGone(object.value)) {
+                if (removed < removalsPerReview && self->isGone(Endpoint(endpointIn(object.value)))) {
                     ++removed;
                     self->removeEntry(object);
                 }
@@ -143,6 +196,119 @@
         objects.remove(object.name, object.version, [](const StoreResult<uint64_t>&) {});
     }
 
+    // --- Departures
+
+    // Reads this node's own entry, and goes on with what waits for that.
+    void readOwnEntry()
+    {
+        const auto now = clock.now();
+        {
+            std::lock_guard guard(lock);
+            if (ownEntryCall > now)
+                return;
+            ownEntryCall = now + settings.rememberLimit;
+        }
+        objects.get(
+            objectName(board.self().endpoint), [weak = weak_from_this()](const StoreResult<StoredObject>& result) {
+                const auto self = weak.lock();
+                if (!self || (!result && result.error() != StoreError::NotFound))
+                    return;
+                if (result)
+                    readDepartures(result.value().value, self->board, self->clock.now());
+                {
+                    std::lock_guard guard(self->lock);
+                    self->ownVersion = result ? result.value().version : absentVersion;
+                    self->storedEntry = result ? result.value().value : std::string();
+                    self->ownEntryCall = Instant();
+                    self->recalled = true;
+                }
+                self->settleWaiting();
+            });
+    }
+
+    // Writes the departures that the store does not have yet. A write that failed or lost a race is read back.
+    void storeDepartures()
+    {
+        const auto text = entryText(board, settings.departuresKept);
+        uint64_t expected = absentVersion;
+        {
+            const auto now = clock.now();
+            std::lock_guard guard(lock);
+            if (ownEntryCall > now)
+                return;
+            ownEntryCall = now + settings.rememberLimit;
+            expected = *ownVersion;
+        }
+        objects.put(objectName(board.self().endpoint), text, expected,
+            [weak = weak_from_this(), text](const StoreResult<uint64_t>& result) {
+                const auto self = weak.lock();
+                if (!self)
+                    return;
+                {
+                    std::lock_guard guard(self->lock);
+                    self->ownEntryCall = Instant();
+                    self->ownVersion = result ? std::optional(result.value()) : std::nullopt;
+                    if (result)
+                        self->storedEntry = text;
+                }
+                self->settleWaiting();
+            });
+    }
+
+    // Answers those who have what they wait for, and those that have waited for too long.
+    void settleWaiting()
+    {
+        const auto text = entryText(board, settings.departuresKept);
+        std::vector<std::pair<std::function<void(bool)>, bool>> settled;
+        {
+            const auto now = clock.now();
+            std::lock_guard guard(lock);
+            const bool stored = storedEntry == text;
+            std::erase_if(waiting, [&](auto& entry) {
+                const bool holds = entry.isForRecall ? recalled.load() : stored;
+                if (!holds && now < entry.deadline)
+                    return false;
+                settled.emplace_back(std::move(entry.done), holds);
+                return true;
+            });
+        }
+        for (const auto& [done, holds] : settled)
+            done(holds);
+    }
+
+    void await(bool isForRecall, std::function<void(bool)> done)
+    {
+        {
+            std::lock_guard guard(lock);
+            waiting.push_back({ isForRecall, clock.now() + settings.rememberLimit, std::move(done) });
+        }
+        settleWaiting();
+        advanceDepartures();
+    }
+
+    // Does what the entry's departures need next.
+    void advanceDepartures()
+    {
+        bool isBehind = false;
+        bool knowsEntry = false;
+        {
+            std::lock_guard guard(lock);
+            knowsEntry = ownVersion.has_value();
+            isBehind = std::ranges::any_of(waiting, [](const auto& entry) { return !entry.isForRecall; });
+        }
+        if (!knowsEntry && (isBehind || !recalled))
+            readOwnEntry();
+        else if (isBehind)
+            storeDepartures();
+    }
+
+    // Who waits until the store has the departures of the board, or this node those of its earlier process.
+    struct Waiting {
+        bool isForRecall;
+        Instant deadline;
+        std::function<void(bool)> done;
+    };
+
     Board& board;
     const Clock& clock;
     RandomSource& random;
@@ -151,7 +317,16 @@
     const Instant startedAt;
     Listener listener;
 
+    std::atomic<bool> recalled { false };
+
     std::mutex lock;
+    std::vector<Waiting> waiting;
+    // This node's entry as the store last showed it; the version is unknown before the first reading and after a write
+    // that failed.
+    std::optional<uint64_t> ownVersion;
+    std::string storedEntry;
+    // Until when a call about it may be answered; the epoch when there is none.
+    Instant ownEntryCall;
     // Whether this life of the node has written its entry.
     bool entryWritten { false };
     // At first later than the first reading, which shows whether there is an entry already.
@@ -170,6 +345,15 @@
 
 void Directory::onContacts(Listener listener) { m_state->listener = std::move(listener); }
 
+void Directory::rememberDepartures(Done done) { m_state->await(false, std::move(done)); }
+
+void Directory::recallDepartures(Done done) { m_state->await(true, std::move(done)); }
+
+bool Directory::hasRecalled() const
+{
+    return m_state->recalled || m_state->clock.now() - m_state->startedAt >= m_state->settings.recallLimit;
+}
+
 void Directory::tick()
 {
     auto& state = *m_state;
@@ -196,7 +380,10 @@
     // 3. The others', while they are needed.
     if (reads && (now - state.startedAt < state.settings.startSpan || state.alone()))
         state.read();
-    // 4. What is left of those that are gone.
+    // 4. What this node's earlier process knew, and what a later one will have to.
+    state.advanceDepartures();
+    state.settleWaiting();
+    // 5. What is left of those that are gone.
     if (cleans && !state.board.draining() && state.isCleaner())
         state.clean();
 }
--- a/src/dissemination/Dissemination.h
+++ b/src/dissemination/Dissemination.h
@@ -111,10 +111,17 @@
     Duration reviewPeriod { std::chrono::minutes(5) };
     /// Time that a member must have been gone before its entry is removed.
     Duration goneTerm { std::chrono::minutes(2) };
+    /// Departures of backend servers kept in an entry, latest first.
+    size_t departuresKept { 8 };
+    /// Longest wait for the store before a departure is acknowledged, and for the departures of an earlier process.
+    Duration rememberLimit { milliseconds(500) };
+    Duration recallLimit { seconds(3) };
 };
 
-/// Where nodes find each other: each has an entry in the store that names its endpoint. A node that knows nobody reads
-/// them all; membership does the rest. Entries of nodes that are gone are removed by one member, chosen by hashing.
+/// Where nodes find each other, and what a node that starts again must know of its earlier process: each has an entry
+/// in the store that names its endpoint. A node that knows nobody reads them all; membership does the rest. An entry
+/// also holds the board's departures: they are read once at the start, and written when there is a new one. Entries of
+/// nodes that are gone are removed by one member, chosen by hashing.
 class Directory {
 public:
     /// Told, outside any lock, the endpoints read.
@@ -128,6 +135,15 @@
     /// Does what is due; to be called every 50 to 1,000 ms.
     void tick();
 
+    /// Each calls back once, from any thread, at the latest after rememberLimit and one tick: whether the store has all
+    /// departures of the board, and whether the board has those of this node's earlier process.
+    using Done = std::function<void(bool)>;
+    void rememberDepartures(Done);
+    void recallDepartures(Done);
+    /// Whether the departures of this node's earlier process are on the board, or the store has not told them within
+    /// recallLimit. Before that no backend server can be taken up safely.
+    bool hasRecalled() const;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -73,6 +73,8 @@
     // 1. Who is there, and what they offer.
     for (const auto& service : control.localServers.expire())
         log(LogLevel::Warning, "backend-server-lapsed", { { "service", service } });
+    for (const auto& service : control.localServers.dropDeparted())
+        log(LogLevel::Warning, "backend-server-had-left", { { "service", service } });
     control.membership.tick();
     control.directory.tick();
 
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -51,10 +51,43 @@
                 { "life", news.life }, { "sequence", news.sequence } });
     }
 
+    void reportUnstored(const ServerNews& news)
+    {
+        log(LogLevel::Warning, "departure-not-stored", { { "instance", news.instance }, { "life", news.life } });
+    }
+
+    // Waits for one of the directory's answers about departures.
+    Task<bool> awaitDepartures(Directory& directory, void (Directory::*ask)(Directory::Done))
+    {
+        const auto answered = std::make_shared<Mailbox<bool>>(1);
+        (directory.*ask)([answered](bool holds) { answered->put(holds); });
+        const auto holds = co_await answered->receive();
+        co_return holds.value_or(false);
+    }
+
     void reportMalformedNews() { log(LogLevel::Warning, "backend-server-news-malformed"); }
 
 } // namespace
 
+// A backend server that has left must not be taken up again by what it said before, not even by the next process of
+// this node: its departure is stored before it is acknowledged, and read before anything is believed.
+Task<SimpleReply> ServerHandler::answerNews(ServerNews news)
+{
+    auto& directory = m_parts.control.directory;
+    if (news.life && !directory.hasRecalled()) {
+        co_await awaitDepartures(directory, &Directory::recallDepartures);
+        if (!directory.hasRecalled())
+            co_return textReply(503, "application/json", "{\"problem\":\"starting\"}\n");
+    }
+    auto reply = takeNews(news);
+    if (LocalServers::isDeparture(news)) {
+        const bool stored = co_await awaitDepartures(directory, &Directory::rememberDepartures);
+        if (!stored)
+            reportUnstored(news);
+    }
+    co_return reply;
+}
+
 SimpleReply ServerHandler::takeNews(const ServerNews& news)
 {
     ServerNews whole = news;
@@ -79,10 +112,13 @@
     // 2. News of the backend server itself.
     const auto body = co_await readSmallBody(*exchange);
     const auto news = body ? m_parts.dialect.serverNews(exchange->head(), *body) : std::nullopt;
-    if (!news)
+    if (!news) {
         reportMalformedNews();
-    auto reply = news ? takeNews(*news)
-                      : textReply(400, "application/json", "{\"problem\":\"malformed or incomplete news\"}\n");
+        co_await exchange->reply(
+            textReply(400, "application/json", "{\"problem\":\"malformed or incomplete news\"}\n"));
+        co_return;
+    }
+    auto reply = co_await answerNews(*news);
     co_await exchange->reply(std::move(reply));
 }
 
--- a/src/node/Handlers.h
+++ b/src/node/Handlers.h
@@ -46,6 +46,7 @@
     Task<void> serve(std::shared_ptr<HttpExchange>) override;
 
 private:
+    Task<SimpleReply> answerNews(ServerNews);
     SimpleReply takeNews(const ServerNews&);
 
     Parts& m_parts;
--- a/tests/DirectoryTests.cpp
+++ b/tests/DirectoryTests.cpp
@@ -46,6 +46,28 @@
         return objects.stored(name).has_value();
     }
 
+    Directory& directoryOf(size_t index) { return *directories.at(FakeFleet::endpointOf(index)); }
+
+    // Notes a departure and waits for the directory's answer about it.
+    bool remember(size_t index, std::string_view server, uint64_t life)
+    {
+        fleet.at(index).board.departures().update(stableHash(server), [&](DepartureRecord& departure) {
+            departure = { life, fleet.clock.now() };
+        });
+        std::optional<bool> stored;
+        directoryOf(index).rememberDepartures([&](bool answer) { stored = answer; });
+        BOOST_TEST(within(seconds(1), [&] { return stored.has_value(); }));
+        return stored.value_or(false);
+    }
+
+    uint64_t departedLife(size_t index, std::string_view server)
+    {
+        uint64_t life = 0;
+        fleet.at(index).board.departures().visit(
+            stableHash(server), [&](const DepartureRecord& departure) { life = departure.life; });
+        return life;
+    }
+
     FakeStore objects;
     FakeFleet fleet;
     std::unique_ptr<RandomSource> random;
@@ -97,6 +119,56 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenABackendServerLeaves)
+
+BOOST_AUTO_TEST_CASE(ThenItsDepartureIsStoredOnceAndKnownToTheNextProcess)
+{
+    fleet.startAll(8);
+    within(seconds(10), [] { return false; });
+    const auto before = objects.changes;
+    BOOST_TEST(remember(3, "i-1", 100));
+    BOOST_TEST(remember(3, "i-1", 100));
+    BOOST_TEST(objects.changes - before == 1u);
+    fleet.kill(3);
+    fleet.start(3);
+    BOOST_TEST(!directoryOf(3).hasRecalled());
+    BOOST_TEST(within(seconds(1), [&] { return directoryOf(3).hasRecalled(); }));
+    BOOST_TEST(departedLife(3, "i-1") == 100u);
+    BOOST_TEST(entryOf(3));
+    // The others still find the node by its entry.
+    fleet.start(20);
+    BOOST_TEST(within(seconds(10), [&] { return fleet.agrees(); }));
+}
+
+BOOST_AUTO_TEST_CASE(ThenALostAnswerIsReadBack)
+{
+    fleet.startAll(8);
+    within(seconds(10), [] { return false; });
+    objects.losesAnswers = true;
+    BOOST_TEST(remember(3, "i-1", 100));
+    objects.losesAnswers = false;
+    BOOST_TEST(remember(3, "i-2", 200));
+    fleet.start(3);
+    within(seconds(1), [] { return false; });
+    BOOST_TEST(departedLife(3, "i-1") == 100u);
+    BOOST_TEST(departedLife(3, "i-2") == 200u);
+}
+
+BOOST_AUTO_TEST_CASE(ThenAStoreThatIsAwayIsWaitedForOnlySoLong)
+{
+    fleet.startAll(8);
+    within(seconds(10), [] { return false; });
+    objects.down = true;
+    BOOST_TEST(!remember(3, "i-1", 100));
+    fleet.start(3);
+    within(seconds(1), [] { return false; });
+    BOOST_TEST(!directoryOf(3).hasRecalled());
+    within(seconds(3), [] { return false; });
+    BOOST_TEST(directoryOf(3).hasRecalled());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAllMembersAreReplaced)
 
 BOOST_AUTO_TEST_CASE(ThenTheNewOnesFindThemselvesAmongTheEntriesOfTheOld)
--- a/tests/FreshnessTests.cpp
+++ b/tests/FreshnessTests.cpp
@@ -240,4 +240,88 @@
     BOOST_TEST(!record()->announcement.draining);
 }
 
+BOOST_AUTO_TEST_SUITE(WhenOneLeavesAndItsNodeStartsAgain)
+
+struct Restarted : Servers {
+    static ServerNews news(ServerNews::Kind kind, uint64_t life, uint64_t sequence)
+    {
+        return { .kind = kind,
+            .service = "ledger",
+            .instance = "i-1",
+            .endpoint = "127.0.0.1:9000",
+            .slots = 8,
+            .term = seconds(10),
+            .life = life,
+            .sequence = sequence };
+    }
+
+    // A new process, which knows what the directory has recalled.
+    Board nextBoard { { "10.0.0.0:7000", "zone-0", { 1 }, { 2 } } };
+    LocalServers next { nextBoard, clock };
+
+    void restart()
+    {
+        board.departures().forEach([&](uint64_t server, const DepartureRecord& departure) {
+            nextBoard.departures().update(server, [&](DepartureRecord& record) { record = departure; });
+        });
+    }
+
+    bool isInUse()
+    {
+        bool inUse = false;
+        nextBoard.localServers().visit(
+            "ledger", [&](const LocalServerRecord& record) { inUse = !record.announcement.draining; });
+        return inUse;
+    }
+};
+
+// Guards against a late heartbeat that brings a server back after its farewell was acknowledged.
+BOOST_FIXTURE_TEST_CASE(ThenWhatItSaidBeforeDoesNotBringItBack, Restarted)
+{
+    using enum ServerNews::Kind;
+    for (const auto farewell : { Drain, Withdraw }) {
+        BOOST_TEST_CONTEXT((farewell == Drain ? "a drain" : "a withdrawal"))
+        {
+            servers.take(news(Announce, 100, 1));
+            servers.take(news(farewell, 100, 3));
+            restart();
+            BOOST_TEST((next.take(news(Announce, 100, 2)) == NewsOutcome::Outdated));
+            BOOST_TEST(!isInUse());
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(ThenAFarewellToAProcessThatDidNotKnowItCountsToo, Restarted)
+{
+    auto farewell = news(ServerNews::Kind::Withdraw, 100, 0);
+    farewell.service.clear();
+    servers.take(farewell);
+    restart();
+    BOOST_TEST((next.take(news(ServerNews::Kind::Announce, 100, 2)) == NewsOutcome::Outdated));
+    BOOST_TEST((servers.take(news(ServerNews::Kind::Announce, 100, 2)) == NewsOutcome::Outdated));
+    BOOST_TEST(!isInUse());
+}
+
+BOOST_FIXTURE_TEST_CASE(ThenItsNextLifeIsTakenUp, Restarted)
+{
+    servers.take(news(ServerNews::Kind::Announce, 100, 1));
+    servers.take(news(ServerNews::Kind::Withdraw, 100, 0));
+    restart();
+    BOOST_TEST((next.take(news(ServerNews::Kind::Announce, 101, 1)) == NewsOutcome::Changed));
+    BOOST_TEST(isInUse());
+}
+
+BOOST_FIXTURE_TEST_CASE(ThenOneThatWasTakenUpBeforeTheDeparturesWereKnownIsDropped, Restarted)
+{
+    servers.take(news(ServerNews::Kind::Withdraw, 100, 0));
+    next.take(news(ServerNews::Kind::Announce, 100, 2));
+    BOOST_TEST(isInUse());
+    BOOST_TEST(next.dropDeparted().empty());
+    restart();
+    BOOST_TEST(next.dropDeparted().size() == 1u);
+    BOOST_TEST(!isInUse());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
