Keep what was read of a body until the next attempt has it

Cause: whether a body can be sent again was asked when an attempt ended. The piece that was still being read then was waited for afterwards, and dropped all that was kept if it went beyond the limit.

Evidence: on the code as found RequestBodyTests shows the second stream with bytes 70,000 to 140,000 and a regular end; only one stream reads, which rules out shared reading for two attempts, and there is a second attempt, which rules out framing at the server's side.

Change: a body that is asked for is held until the next attempt begins. If the caller breaks it off meanwhile, the request ends with that.

Why it works: the answer that the retry was granted on stays true.

Siblings: join() returned at once when an earlier attempt had left its event set, so that a third attempt read beside the second; mended here, since it is the same decision before a wait.

--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -239,7 +239,12 @@
             lastReason = decision.reason;
             retryAfter = attempt.retryAfter;
             co_await m_body->join();
-            continue;
+            // The caller may have left, or broken its body off, while the last piece was read.
+            if (m_body->failure() == Reason::None)
+                continue;
+            co_await refuse(m_body->failure(), Duration(0));
+            close(row(m_body->failure()).outcome, noStatus);
+            co_return;
         }
 
         // 3. Its end.
@@ -466,9 +471,9 @@
 // Whether time, body and budget allow another try, which is then taken out of the budget.
 bool EntryRequest::mayRetry(Reason reason)
 {
-    if (m_timedOut || m_callerGone || !m_body->replayable() || m_body->failure() != Reason::None)
+    if (m_timedOut || m_callerGone || m_body->failure() != Reason::None || m_parts.clock.now() >= m_decision.deadline)
         return false;
-    if (m_parts.clock.now() >= m_decision.deadline)
+    if (!m_body->holdForReplay())
         return false;
     const auto grant = m_parts.control.retry.acquireRetry(id(), service(), reason);
     m_backoff = grant ? grant->delay : Duration(0);
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -19,16 +19,24 @@
 {
 }
 
+bool RequestBody::holdForReplay()
+{
+    m_isHeld = m_replayable;
+    return m_isHeld;
+}
+
 void RequestBody::startSending(MessageStreamPointer stream)
 {
     m_sending = true;
+    m_isHeld = false;
     boost::asio::co_spawn(m_exchange->strand(), run(shared_from_this(), std::move(stream)), boost::asio::detached);
 }
 
 Task<void> RequestBody::join()
 {
     const auto self = shared_from_this();
-    if (m_sending)
+    // The event may still be set by an attempt whose sending had ended before it was waited for.
+    while (m_sending)
         co_await m_ended.wait();
 }
 
@@ -88,7 +96,7 @@
 
 void RequestBody::keep(std::string_view bytes)
 {
-    m_replayable = m_replayable && m_kept.size() + bytes.size() <= replayLimit;
+    m_replayable = m_replayable && (m_isHeld || m_kept.size() + bytes.size() <= replayLimit);
     if (m_replayable)
         m_kept += bytes;
     else
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -16,13 +16,15 @@
     /// \param limit bytes \param onComplete called once, when the body has been read to its end
     RequestBody(std::shared_ptr<HttpExchange>, uint64_t limit, std::function<void()> onComplete);
 
-    /// Whether all that was read can be sent again.
-    bool replayable() const { return m_replayable; }
+    /// Whether all that was read can be sent again. If so, it stays so until the next attempt: a piece that is still
+    /// being read for the present one is kept beyond the limit.
+    bool holdForReplay();
     /// Why the body could not be passed on whole; None as long as it can.
     Reason failure() const { return m_failure; }
     /// Passes the body to the stream, from its beginning; the sending of an earlier attempt must have been joined.
     void startSending(MessageStreamPointer);
-    /// Waits until nothing is read from the exchange any more. The stream must have been closed.
+    /// Waits until nothing is read from the exchange for the present attempt any more. The stream must have been
+    /// closed.
     Task<void> join();
 
 private:
@@ -37,6 +39,8 @@
     const std::function<void()> m_onComplete;
     std::string m_kept;
     bool m_replayable { true };
+    // Whether the next attempt has been promised all that was read.
+    bool m_isHeld { false };
     bool m_complete { false };
     uint64_t m_read { 0 };
     Reason m_failure { Reason::None };
