--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -18,6 +18,7 @@
 struct Fetch {
     uint64_t number { 0 };
     Endpoint peer;
+    Instant begunAt;
     Instant deadline;
     uint32_t peersTried { 0 };
     // Whether differences were of no use, so that whole lists are asked for.
@@ -84,6 +85,7 @@
     std::optional<Endpoint> drawPeer();
     void requestSections(Instant now, Effects&);
     void finishFetch(Effects&);
+    void logFetched() const;
     void noteUnreadable(uint64_t number, const CheckedManifest&, Effects&);
     void handle(const Endpoint& from, const SectionListRequest&, Effects&);
     void handle(const Endpoint& from, const SectionList&, Instant now, Effects&);
--- a/src/dissemination/Fetching.cpp
+++ b/src/dissemination/Fetching.cpp
@@ -19,6 +19,7 @@
         fetching.emplace();
         fetching->number = record.newestNumber;
         fetching->peer = record.newestFrom;
+        fetching->begunAt = now;
         askNextPeer(now, effects);
         return;
     }
@@ -166,10 +167,18 @@
     }
     // What peers hold is kept as they sent it, so that the hashes stay theirs.
     checked.sections = std::move(sections);
+    logFetched();
     fetching.reset();
     take(number, std::move(checked), effects);
 }
 
+void Dissemination::State::logFetched() const
+{
+    log(LogLevel::Info, "configuration-fetched",
+        { { "number", fetching->number }, { "peer", fetching->peer }, { "peers-tried", fetching->peersTried },
+            { "took-ms", inMilliseconds(clock.now() - fetching->begunAt) } });
+}
+
 // The fleet goes by a configuration that this node cannot read from sections: it stays behind, and reads the object.
 void Dissemination::State::noteUnreadable(uint64_t number, const CheckedManifest& checked, Effects& effects)
 {
