Keep owners out of coroutine lambdas; check the entry's version under its lock

The answer of the directory about departures was awaited through a lambda with an owner in it, made in a coroutine: GCC 12 may release such an owner twice. The version of the node's entry was read after a check under another hold of the lock, and a failed write in between would have left it empty. Neither was seen; both were found by reading the change.

--- a/src/dissemination/Directory.cpp
+++ b/src/dissemination/Directory.cpp
@@ -234,7 +234,7 @@
         {
             const auto now = clock.now();
             std::lock_guard guard(lock);
-            if (ownEntryCall > now)
+            if (ownEntryCall > now || !ownVersion)
                 return;
             ownEntryCall = now + settings.rememberLimit;
             expected = *ownVersion;
@@ -276,6 +276,7 @@
             done(holds);
     }
 
+    // Calls back once what is asked for holds, or has been waited for long enough.
     void await(bool isForRecall, std::function<void(bool)> done)
     {
         {
--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -109,7 +109,7 @@
     std::vector<std::string> errors;
 
     bool isWatcher { false };
-    size_t liveMembers { 1 };
+    size_t liveMembers { 0 };
     // Until when this node watches although others are chosen, and when it asks the store next while nobody confirms;
     // the epoch while others do.
     Instant takeoverUntil;
--- a/src/dissemination/Watching.cpp
+++ b/src/dissemination/Watching.cpp
@@ -59,7 +59,7 @@
             zones[record.said.zone].emplace_back(dutyScore(id, duty), id.value);
     });
     std::vector<uint64_t> watchers;
-    liveMembers = 1;
+    liveMembers = 0;
     for (auto& [zone, members] : zones) {
         liveMembers += members.size();
         const auto count = std::min<size_t>(settings.watchersPerZone, members.size());
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -56,11 +56,20 @@
         log(LogLevel::Warning, "departure-not-stored", { { "instance", news.instance }, { "life", news.life } });
     }
 
-    // Waits for one of the directory's answers about departures.
-    Task<bool> awaitDepartures(Directory& directory, void (Directory::*ask)(Directory::Done))
+    using AskDirectory = void (Directory::*)(Directory::Done);
+
+    // Lambdas with owners in them are made in plain functions: see the developers' page.
+    std::shared_ptr<Mailbox<bool>> askDirectory(Directory& directory, AskDirectory ask)
     {
         const auto answered = std::make_shared<Mailbox<bool>>(1);
         (directory.*ask)([answered](bool holds) { answered->put(holds); });
+        return answered;
+    }
+
+    // Waits for one of the directory's answers about departures.
+    Task<bool> awaitDirectory(Directory& directory, AskDirectory ask)
+    {
+        const auto answered = askDirectory(directory, ask);
         const auto holds = co_await answered->receive();
         co_return holds.value_or(false);
     }
@@ -75,13 +84,13 @@
 {
     auto& directory = m_parts.control.directory;
     if (news.life && !directory.hasRecalled()) {
-        co_await awaitDepartures(directory, &Directory::recallDepartures);
+        co_await awaitDirectory(directory, &Directory::recallDepartures);
         if (!directory.hasRecalled())
             co_return textReply(503, "application/json", "{\"problem\":\"starting\"}\n");
     }
     auto reply = takeNews(news);
     if (LocalServers::isDeparture(news)) {
-        const bool stored = co_await awaitDepartures(directory, &Directory::rememberDepartures);
+        const bool stored = co_await awaitDirectory(directory, &Directory::rememberDepartures);
         if (!stored)
             reportUnstored(news);
     }
@@ -114,8 +123,8 @@
     const auto news = body ? m_parts.dialect.serverNews(exchange->head(), *body) : std::nullopt;
     if (!news) {
         reportMalformedNews();
-        co_await exchange->reply(
-            textReply(400, "application/json", "{\"problem\":\"malformed or incomplete news\"}\n"));
+        auto refusal = textReply(400, "application/json", "{\"problem\":\"malformed or incomplete news\"}\n");
+        co_await exchange->reply(std::move(refusal));
         co_return;
     }
     auto reply = co_await answerNews(*news);
