--- a/tests/RequestBodyTests.cpp
+++ b/tests/RequestBodyTests.cpp
@@ -91,6 +91,7 @@
             return true;
         });
         context.stop();
+        thread.join();
     }
 
     void begin(bool isChunked)
@@ -169,9 +170,10 @@
     }
 
     static constexpr size_t size = 140'000;
+    // Outlives the exchanges that wait in the context.
+    BodyHandler handler;
     boost::asio::io_context context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
-    BodyHandler handler;
     HttpServer server;
     std::jthread thread;
     boost::asio::io_context callerContext;
