Refuse heads that leave open where their body ends

Cause: the parser takes a coding that it does not know for none, and a request without a length for one without a body. The node took over both.

Change: src/framing decides on the fields: no coding, or exactly chunked on HTTP/1.1 without a length. Anything else is refused with 400 bad-framing, and the connection ends. Answers of servers and of the store are judged by the same rule, and count as no answer.

No call to the store is added.

--- a/src/core/Core.cpp
+++ b/src/core/Core.cpp
@@ -205,6 +205,8 @@
         { Reason::MemoryFull, "memory-full", 503, notRun, true, "no room to remember another request" },
         { Reason::ServerBusy, "server-busy", 503, notRun, true, "the backend server itself turned it away unrun" },
         { Reason::NodeBusy, "node-busy", 503, notRun, false, "the node where it entered is short of processor time" },
+        { Reason::BadFraming, "bad-framing", 400, notRun, false,
+            "the transfer coding or length leaves open where the body ends" },
     } };
 
 } // namespace
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -236,6 +236,7 @@
     MemoryFull,
     ServerBusy,
     NodeBusy,
+    BadFraming,
     Count,
 };
 constexpr size_t reasonCount = static_cast<size_t>(Reason::Count);
--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -166,6 +166,10 @@
         if (error)
             co_return std::nullopt;
         const auto& message = self.parser->get();
+        if (!hasUnambiguousFraming(message)) {
+            abort();
+            co_return std::nullopt;
+        }
         if (message.result_int() < 200)
             continue;
 
--- a/src/http/HttpMessages.h
+++ b/src/http/HttpMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "address/Address.h"
+#include "framing/Framing.h"
 #include "http/Http.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -215,7 +215,7 @@
     void endLateSteps();
     Task<void> serve(std::shared_ptr<HttpConnection>);
     Task<bool> serveOne(std::shared_ptr<HttpConnection>);
-    Task<void> reject(HttpConnection&, ErrorCode);
+    Task<void> reject(HttpConnection&, Reason);
 
     void add(const std::shared_ptr<HttpConnection>& connection)
     {
@@ -317,6 +317,33 @@
     }
 }
 
+namespace {
+
+    // What the parser's failure means to the caller; nothing when the caller is simply gone.
+    Reason reasonOf(ErrorCode error)
+    {
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return Reason::HeadTooLarge;
+        if (error == beast::error::timeout)
+            return Reason::SlowCaller;
+        if (error == http::error::end_of_stream)
+            return Reason::None;
+        if (error.category() == http::make_error_code(http::error::bad_method).category())
+            return Reason::BadRequest;
+        return Reason::None;
+    }
+
+    // What is wrong with the way in which the head says where the body ends. What follows such a head cannot be told
+    // apart from a further request.
+    Reason framingFault(const Request& parser)
+    {
+        const auto& message = parser.get();
+        const bool hasCoding = message.count(http::field::transfer_encoding);
+        return hasUnambiguousFraming(message) && hasCoding == parser.chunked() ? Reason::None : Reason::BadFraming;
+    }
+
+} // namespace
+
 Task<bool> HttpServer::Implementation::serveOne(std::shared_ptr<HttpConnection> connection)
 {
     // 1. The head.
@@ -332,9 +359,10 @@
     connection->limit(limits.headTimeout);
     const auto error = co_await readHeader(connection->socket, connection->buffer, *parser);
     connection->unlimit();
-    if (error) {
-        const auto cause = connection->expired() ? ErrorCode(beast::error::timeout) : error;
-        co_await reject(*connection, cause);
+    const auto fault
+        = error ? reasonOf(connection->expired() ? ErrorCode(beast::error::timeout) : error) : framingFault(*parser);
+    if (error || fault != Reason::None) {
+        co_await reject(*connection, fault);
         co_return false;
     }
 
@@ -353,27 +381,8 @@
     co_return !exchangeState.endsConnection && exchangeState.parser->is_done();
 }
 
-namespace {
-
-    // What the parser's failure means to the caller; nothing when the caller is simply gone.
-    Reason reasonOf(ErrorCode error)
-    {
-        if (error == http::error::header_limit || error == http::error::buffer_overflow)
-            return Reason::HeadTooLarge;
-        if (error == beast::error::timeout)
-            return Reason::SlowCaller;
-        if (error == http::error::end_of_stream)
-            return Reason::None;
-        if (error.category() == http::make_error_code(http::error::bad_method).category())
-            return Reason::BadRequest;
-        return Reason::None;
-    }
-
-} // namespace
-
-Task<void> HttpServer::Implementation::reject(HttpConnection& connection, ErrorCode error)
+Task<void> HttpServer::Implementation::reject(HttpConnection& connection, Reason reason)
 {
-    const Reason reason = reasonOf(error);
     if (reason == Reason::None)
         co_return;
     auto reply = handler.rejection(reason);
--- a/src/httpcall/HttpCall.cpp
+++ b/src/httpcall/HttpCall.cpp
@@ -1,6 +1,7 @@
 #include "httpcall/HttpCall.h"
 
 #include "address/Address.h"
+#include "framing/Framing.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
@@ -76,7 +77,8 @@
         void receive()
         {
             Http::async_read(m_stream, m_buffer, m_parser, [self = shared_from_this()](error_code error, size_t) {
-                error ? self->fail(HttpCallError::NoAnswer) : self->succeed();
+                const bool isWhole = !error && hasUnambiguousFraming(self->m_parser.get());
+                isWhole ? self->succeed() : self->fail(HttpCallError::NoAnswer);
             });
         }
 
