--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -496,8 +496,8 @@
     // 1. What went wrong with the caller itself says more than what followed from it.
     if (m_callerGone)
         reason = Reason::CallerGone;
-    else if (m_body && m_body->failure() != Reason::None && row(reason).outcome == Outcome::Unknown)
-        reason = m_body->failure();
+    else if (m_body && (m_body->isInvalid() || row(reason).outcome == Outcome::Unknown))
+        reason = m_body->failure() == Reason::None ? reason : m_body->failure();
     m_parts.board.counters().add(Counter::RequestsRefused);
     m_parts.board.counters().addRefusal(reason);
     m_end = reason;
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -21,6 +21,8 @@
     bool holdForReplay();
     /// Why the body could not be passed on whole; None as long as it can.
     Reason failure() const { return m_failure; }
+    /// Whether no server would take the body, whatever its pace: a repeat would fail in the same way.
+    bool isInvalid() const { return m_failure == Reason::BodyTooLarge; }
     /// Passes the body to the stream, from its beginning; the sending of an earlier attempt must have been joined.
     void startSending(MessageStreamPointer);
     /// Waits until nothing is read from the exchange for the present attempt any more. The stream must have been
--- a/tests/RequestFramingTests.cpp
+++ b/tests/RequestFramingTests.cpp
@@ -119,6 +119,7 @@
 };
 
 const std::string hello = "5\r\nhello\r\n0\r\n\r\n";
+const std::string tooLong(bodyLimit + 1, 'x');
 
 const std::vector<RequestRow>& requestRows()
 {
@@ -159,6 +160,9 @@
         { "Content-Length : 5\r\n", "hello", 400, {} },
         { "Transfer-Encoding : chunked\r\n", hello, 400, {} },
         { "Content-Length: 5\n", "hello", 400, {} },
+        // 3. Longer than the route allows.
+        { "Content-Length: 4097\r\n", tooLong, 413, {} },
+        { "Transfer-Encoding: chunked\r\n", chunkOf(tooLong) + "0\r\n\r\n", 413, {} },
     };
     return s_rows;
 }
