Refuse malformed chunks as the caller's fault, and at once

Cause: every failure of the parser within a body counted as a caller that had left. The parser itself waits for the quote to end, however many lines follow.

Change: failures of the parser are told apart from the end of the connection. Bytes of which the parser wants more, and that nothing can complete, are found by isMalformedChunkHeader(). Guards are told that the caller has gone: nodes of an earlier version would not understand the new reason.

--- a/src/core/Core.cpp
+++ b/src/core/Core.cpp
@@ -207,6 +207,7 @@
         { Reason::NodeBusy, "node-busy", 503, notRun, false, "the node where it entered is short of processor time" },
         { Reason::BadFraming, "bad-framing", 400, notRun, false,
             "the transfer coding or length leaves open where the body ends" },
+        { Reason::MalformedBody, "malformed-body", 400, unknown, false, "the chunks of the body are malformed" },
     } };
 
 } // namespace
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -237,6 +237,7 @@
     ServerBusy,
     NodeBusy,
     BadFraming,
+    MalformedBody,
     Count,
 };
 constexpr size_t reasonCount = static_cast<size_t>(Reason::Count);
--- a/src/framing/Framing.h
+++ b/src/framing/Framing.h
@@ -21,7 +21,11 @@
 /// no length, and its one coding is chunked. Other codings are not applied, so a body that has one cannot be passed on.
 bool isUnambiguous(const BodyFraming&);
 
-/// isUnambiguous() for a message as Boost.Beast keeps it.
+/// Whether no further bytes can complete the chunk header, or last chunk and trailer, at the start of these bytes.
+/// \param bytes what a parser has left over because it needs more; the end of the chunk before may stand first
+bool isMalformedChunkHeader(std::string_view bytes);
+
+/// The same for a message as Boost.Beast keeps it.
 template <typename Message> bool hasUnambiguousFraming(const Message& message)
 {
     constexpr std::string_view codingField = "Transfer-Encoding";
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -63,7 +63,7 @@
 };
 
 /// How reading the next piece of a body ended.
-enum class BodyEnd : uint8_t { More, Last, Cut, TooSlow };
+enum class BodyEnd : uint8_t { More, Last, Cut, TooSlow, Malformed };
 
 struct BodyPiece {
     std::string bytes;
--- a/src/http/HttpMessages.cpp
+++ b/src/http/HttpMessages.cpp
@@ -48,6 +48,23 @@
     return isQuiet ? SocketState::Quiet : SocketState::Ended;
 }
 
+Task<ErrorCode> readMore(TcpSocket& socket, beast::flat_buffer& buffer)
+{
+    const auto room = std::min(bodyPieceBytes, buffer.max_size() - buffer.size());
+    if (!room)
+        co_return ErrorCode(http::error::buffer_overflow);
+    ErrorCode error;
+    const auto read = co_await socket.async_read_some(buffer.prepare(room), redirect_error(useAwaitable, error));
+    buffer.commit(read);
+    co_return error == boost::asio::error::eof ? ErrorCode(http::error::end_of_stream) : error;
+}
+
+bool isMalformed(ErrorCode error)
+{
+    return error.category() == http::make_error_code(http::error::bad_chunk).category()
+        && error != http::error::partial_message && error != http::error::end_of_stream;
+}
+
 // Headers that the Connection header names belong to the connection as well.
 std::vector<HeaderField> endToEndHeaders(const http::fields& fields)
 {
--- a/src/http/HttpMessages.h
+++ b/src/http/HttpMessages.h
@@ -57,6 +57,9 @@
     return false;
 }
 
+/// Reads what has come into the buffer; end_of_stream at the end of the connection.
+Task<ErrorCode> readMore(TcpSocket&, beast::flat_buffer&);
+
 /// Reads a head, and what comes with it; the reason if there is none to be had.
 template <typename Parser> Task<ErrorCode> readHeader(TcpSocket& socket, beast::flat_buffer& buffer, Parser& parser)
 {
@@ -70,17 +73,37 @@
         }
 
         // 2. More. The buffer has room for any head within the limit.
-        const auto room = std::min(bodyPieceBytes, buffer.max_size() - buffer.size());
-        if (!room)
-            co_return ErrorCode(http::error::buffer_overflow);
-        const auto read = co_await socket.async_read_some(buffer.prepare(room), redirect_error(useAwaitable, error));
-        buffer.commit(read);
+        error = co_await readMore(socket, buffer);
         if (error)
-            co_return error == boost::asio::error::eof ? ErrorCode(http::error::end_of_stream) : error;
+            co_return error;
     }
     co_return ErrorCode();
 }
 
+/// Whether the parser failed for bytes that are no body, rather than for the end of the connection.
+bool isMalformed(ErrorCode);
+
+/// Gives the parser the bytes of a body that come next, of which some may have come already.
+template <typename Parser> Task<ErrorCode> parseBody(TcpSocket& socket, beast::flat_buffer& buffer, Parser& parser)
+{
+    ErrorCode error;
+    while (!parseBuffered(buffer, parser, error)) {
+        // The parser waits without end for the quote that closes an extension, and for a line end that came incomplete.
+        const std::string_view left(static_cast<const char*>(buffer.data().data()), buffer.size());
+        if (parser.chunked() && isMalformedChunkHeader(left))
+            co_return ErrorCode(http::error::bad_chunk);
+        error = co_await readMore(socket, buffer);
+        if (error == http::error::end_of_stream) {
+            error = {};
+            parser.put_eof(error);
+            co_return error;
+        }
+        if (error)
+            co_return error;
+    }
+    co_return error;
+}
+
 /// Reads the next piece of a body through a parser that was made with buffer_body.
 template <typename Parser> Task<BodyPiece> readPiece(TcpSocket& socket, beast::flat_buffer& buffer, Parser& parser)
 {
@@ -97,17 +120,15 @@
         // 1. Into what is left of the piece: from what has come, or else from the socket.
         body.data = piece.bytes.data();
         body.size = piece.bytes.size();
-        ErrorCode error;
-        if (!parseBuffered(buffer, parser, error))
-            co_await http::async_read_some(socket, buffer, parser, redirect_error(useAwaitable, error));
+        auto error = co_await parseBody(socket, buffer, parser);
         if (error == http::error::need_buffer)
             error = {};
         const size_t read = piece.bytes.size() - body.size;
 
-        // 2. Tell a cut body from one that goes on or ends.
+        // 2. Tell a malformed or cut body from one that goes on or ends.
         if (error) {
             piece.bytes.resize(read);
-            piece.end = BodyEnd::Cut;
+            piece.end = isMalformed(error) ? BodyEnd::Malformed : BodyEnd::Cut;
             co_return piece;
         }
         if (read || parser.is_done()) {
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -78,10 +78,13 @@
         m_failure = Reason::CallerGone;
     else if (piece.end == BodyEnd::TooSlow)
         m_failure = Reason::SlowCaller;
+    else if (piece.end == BodyEnd::Malformed)
+        m_failure = Reason::MalformedBody;
     else if (m_read > m_limit)
         m_failure = Reason::BodyTooLarge;
     if (m_failure != Reason::None) {
-        stream.send(CancelRequest { m_failure });
+        // Nodes of an earlier version do not know MalformedBody.
+        stream.send(CancelRequest { m_failure == Reason::MalformedBody ? Reason::CallerGone : m_failure });
         co_return false;
     }
 
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -22,7 +22,7 @@
     /// Why the body could not be passed on whole; None as long as it can.
     Reason failure() const { return m_failure; }
     /// Whether no server would take the body, whatever its pace: a repeat would fail in the same way.
-    bool isInvalid() const { return m_failure == Reason::BodyTooLarge; }
+    bool isInvalid() const { return m_failure == Reason::BodyTooLarge || m_failure == Reason::MalformedBody; }
     /// Passes the body to the stream, from its beginning; the sending of an earlier attempt must have been joined.
     void startSending(MessageStreamPointer);
     /// Waits until nothing is read from the exchange for the present attempt any more. The stream must have been
--- a/tests/FramingTests.cpp
+++ b/tests/FramingTests.cpp
@@ -39,6 +39,28 @@
     { { "" }, false, 11, false },
 };
 
+struct ChunkRow {
+    std::string_view bytes;
+    bool isMalformed;
+};
+
+// What a parser has left over because it needs more.
+constexpr ChunkRow chunkRows[] {
+    { "", false },
+    { "\r", false },
+    { "\r\n", false },
+    { "1f", false },
+    { "\r\n1f;name=value", false },
+    { "0\r\n", false },
+    { "000\r\nTrailer: a\r\n", false },
+    { "\r\n0;name=\"value\"\r\n", false },
+    { "5\n", true },
+    { "5\nhello\n0\n\n", true },
+    { "5;name=\"value\r\n", true },
+    { "0;name=\"value\r\n\r\n", true },
+    { "0\r\nTrailer: a\n", true },
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GivenTheHeadOfAMessage)
@@ -58,3 +80,20 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenTheBeginningOfAChunk)
+
+BOOST_AUTO_TEST_SUITE(WhenItsParserNeedsMore)
+
+// Guards against a caller that waits without an answer, because a quote or a line never ends.
+BOOST_AUTO_TEST_CASE(ThenWhatNothingCanCompleteIsMalformed)
+{
+    for (const auto& row : chunkRows) {
+        BOOST_TEST_CONTEXT(row.bytes)
+        BOOST_TEST(isMalformedChunkHeader(row.bytes) == row.isMalformed);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/RequestFramingTests.cpp
+++ b/tests/RequestFramingTests.cpp
@@ -160,7 +160,17 @@
         { "Content-Length : 5\r\n", "hello", 400, {} },
         { "Transfer-Encoding : chunked\r\n", hello, 400, {} },
         { "Content-Length: 5\n", "hello", 400, {} },
-        // 3. Longer than the route allows.
+        // 3. Chunks that are none.
+        { "Transfer-Encoding: chunked\r\n", "-0\r\n\r\n", 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "0x5\r\nhello\r\n0\r\n\r\n", 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "10000000000000005\r\nhello\r\n0\r\n\r\n", 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "5\nhello\n0\n\n", 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "5\r\nhelloX\r\n0\r\n\r\n", 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "5;name=\"value\r\nhello\r\n0\r\n\r\n", 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0;name=\"value\r\n\r\n", 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "\r\n" + hello, 400, {} },
+        { "Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n", 400, {} },
+        // 4. Longer than the route allows.
         { "Content-Length: 4097\r\n", tooLong, 413, {} },
         { "Transfer-Encoding: chunked\r\n", chunkOf(tooLong) + "0\r\n\r\n", 413, {} },
     };
