End the reading of a body with its request

What callers saw (UploadTests): after an answer that came before the body was in, the node held a connection whose caller sent nothing more, beyond the limit for bodies, and counted it as an open exchange.

Cause: the request's end waits for the reading of the body. The limit of that reading had gone with the limit of the reply, which is the same number.

Change: a request that is over ends the reading, unless the body is whole and the connection is read for the next request.

Tests: UploadTests plays uploads node to node, of any size, framing, pace and end, against servers that reject, cut off or answer early.

--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -93,6 +93,9 @@
     /// The next piece of the request's body, at most bodyPieceBytes long.
     Task<BodyPiece> readBody();
     bool bodyFinished() const;
+    /// Ends a reading of the body that is under way, as if the caller had ended the connection. Not while a reply is
+    /// being written.
+    void stopReading();
 
     /// Writes the reply's head. False when the caller cannot be reached any more.
     Task<bool> writeHead(ReplyHead, HeadWriting = HeadWriting::AtOnce);
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -119,6 +119,12 @@
     co_return piece;
 }
 
+void HttpExchange::stopReading()
+{
+    ErrorCode ignored;
+    m_implementation->connection->socket.cancel(ignored);
+}
+
 bool HttpExchange::bodyFinished() const { return m_implementation->parser->is_done(); }
 
 Task<bool> HttpExchange::writeHead(ReplyHead head, HeadWriting writing)
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -66,7 +66,7 @@
     open();
     co_await serve();
     m_deadline.cancel();
-    co_await m_body->join();
+    co_await m_body->finish();
 }
 
 // --- Before the first attempt ---------------------------------------------------------------------------------------
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -40,6 +40,16 @@
         co_await m_ended.wait();
 }
 
+Task<void> RequestBody::finish()
+{
+    const auto self = shared_from_this();
+    // Once the body is whole, the connection is read for the next request, which goes on.
+    if (m_isReading)
+        m_exchange->stopReading();
+    while (m_sending)
+        co_await m_ended.wait();
+}
+
 Task<void> RequestBody::run(std::shared_ptr<RequestBody> self, MessageStreamPointer stream)
 {
     co_await self->send(stream);
@@ -72,7 +82,9 @@
 Task<bool> RequestBody::readAndSend(MessageStream& stream)
 {
     // 1. The next piece.
+    m_isReading = true;
     auto piece = co_await m_exchange->readBody();
+    m_isReading = false;
     m_read += piece.bytes.size();
     if (piece.end == BodyEnd::Cut)
         m_failure = Reason::CallerGone;
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -28,6 +28,8 @@
     /// Waits until nothing is read from the exchange for the present attempt any more. The stream must have been
     /// closed.
     Task<void> join();
+    /// Ends the reading of what the caller still sends, and waits for its end. The reply must have been written.
+    Task<void> finish();
 
 private:
     static Task<void> run(std::shared_ptr<RequestBody>, MessageStreamPointer);
@@ -47,6 +49,7 @@
     uint64_t m_read { 0 };
     Reason m_failure { Reason::None };
     bool m_sending { false };
+    bool m_isReading { false };
     Event m_ended;
 };
 
