Answer an upload at its deadline though its caller has stalled

What callers saw (UploadTests): an upload that a server rejected unrun while its caller paused was answered 2.1 s after its deadline of 8 s, with 502, which leaves open whether it ran.

Cause: between two attempts the deadline had nothing to cancel, and join() waited for the caller's next piece until the limit for bodies.

Evidence: ThenARejectedOneIsAnsweredByItsDeadline fails before; the line of the request has allowed-ms=7999 took-ms=10080 and one attempt of 0 ms, which rules out the pause before a repeat and a guard that answers late.

Change: the deadline ends the waiting as well. The caller is told that the request has not run if the last server said so.

Result: answered at 8 s; UploadTests and RequestBodyTests pass.

--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -183,6 +183,7 @@
             return;
         self->m_timedOut = true;
         self->cancelAttempt(Reason::Timeout);
+        self->m_body->interruptJoin();
     });
     if (!m_exchange->head().hasBody)
         watchCaller();
@@ -238,12 +239,13 @@
         if (decision.step == NextStep::TryAnotherServer) {
             lastReason = decision.reason;
             retryAfter = attempt.retryAfter;
-            co_await m_body->join();
-            // The caller may have left, or broken its body off, while the last piece was read.
-            if (m_body->failure() == Reason::None)
+            const bool joined = co_await m_body->join();
+            // The caller may have left, broken its body off, or sent too little, while the last piece was read.
+            const auto end = joined ? m_body->failure() : timeoutAfter(lastReason);
+            if (end == Reason::None)
                 continue;
-            co_await refuse(m_body->failure(), Duration(0));
-            close(row(m_body->failure()).outcome, noStatus);
+            co_await refuse(end, Duration(0));
+            close(row(end).outcome, noStatus);
             co_return;
         }
 
@@ -263,6 +265,12 @@
     }
 }
 
+// What to tell a caller whose time ran out between two attempts.
+Reason EntryRequest::timeoutAfter(Reason lastReason)
+{
+    return row(lastReason).outcome == Outcome::NotRun ? Reason::DeadlineExceeded : Reason::Timeout;
+}
+
 // Whether the route allows no further server, so that the next attempt goes to one that rejected the request unrun.
 bool EntryRequest::repeatsRejection() const
 {
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -44,6 +44,7 @@
     // Attempts.
     Task<void> serve();
     std::optional<PlacementChoice> chooseServer();
+    static Reason timeoutAfter(Reason lastReason);
     bool repeatsRejection() const;
     Task<void> pause(Duration);
     Task<Decision> makeAttempt(Attempt&);
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -32,12 +32,19 @@
     boost::asio::co_spawn(m_exchange->strand(), run(shared_from_this(), std::move(stream)), boost::asio::detached);
 }
 
-Task<void> RequestBody::join()
+Task<bool> RequestBody::join()
 {
     const auto self = shared_from_this();
     // The event may still be set by an attempt whose sending had ended before it was waited for.
-    while (m_sending)
+    while (m_sending && !m_isInterrupted)
         co_await m_ended.wait();
+    co_return !m_sending;
+}
+
+void RequestBody::interruptJoin()
+{
+    m_isInterrupted = true;
+    m_ended.set();
 }
 
 Task<void> RequestBody::finish()
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -25,9 +25,11 @@
     bool isInvalid() const { return m_failure == Reason::BodyTooLarge || m_failure == Reason::MalformedBody; }
     /// Passes the body to the stream, from its beginning; the sending of an earlier attempt must have been joined.
     void startSending(MessageStreamPointer);
-    /// Waits until nothing is read from the exchange for the present attempt any more. The stream must have been
-    /// closed.
-    Task<void> join();
+    /// Waits until nothing is read from the exchange for the present attempt any more, or until interrupted. The stream
+    /// must have been closed. False if something is still being read, so that no attempt may begin.
+    Task<bool> join();
+    /// Ends the waiting in join(): the request's time is over, whatever its caller still sends.
+    void interruptJoin();
     /// Ends the reading of what the caller still sends, and waits for its end. The reply must have been written.
     Task<void> finish();
 
@@ -50,6 +52,7 @@
     Reason m_failure { Reason::None };
     bool m_sending { false };
     bool m_isReading { false };
+    bool m_isInterrupted { false };
     Event m_ended;
 };
 
--- a/tests/UploadTests.cpp
+++ b/tests/UploadTests.cpp
@@ -405,6 +405,25 @@
 
 BOOST_AUTO_TEST_SUITE(WhenItsCallerSendsNothingMore)
 
+// Guards against a request that is held past its deadline, because the next attempt waits for its caller.
+BOOST_AUTO_TEST_CASE(ThenARejectedOneIsAnsweredByItsDeadline)
+{
+    Upload upload;
+    upload.id = "stalled";
+    upload.path = "/write/stalled";
+    upload.content = std::string(140'000, 'x');
+    upload.steps = { { ServerStep::Kind::Reject, 60'000 }, { ServerStep::Kind::Reject, 60'000 } };
+    plan(upload);
+    RawConnection connection(entry.callers());
+    const auto start = SteadyClock::now();
+    connection.send(headOf(upload));
+    connection.send(chunkOf(std::string_view(upload.content).substr(0, 60'000)));
+    const auto answer = connection.read(patience);
+    BOOST_REQUIRE(answer);
+    BOOST_TEST((SteadyClock::now() - start < milliseconds(deadline) + mostHeld));
+    BOOST_TEST(connection.awaitEnd(bodyTimeout + mostHeld));
+}
+
 // Guards against a connection that stays for ever, because the reply under way ended the limit of the reading.
 BOOST_AUTO_TEST_CASE(ThenOneThatIsAnsweredEarlyDoesNotHoldItsConnection)
 {
