--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -479,12 +479,19 @@
 // Whether time, body and budget allow another try, which is then taken out of the budget.
 bool EntryRequest::mayRetry(Reason reason)
 {
-    if (m_timedOut || m_callerGone || m_body->failure() != Reason::None || m_parts.clock.now() >= m_decision.deadline)
+    m_retryObstacle = {};
+    if (m_timedOut || m_callerGone || m_body->failure() != Reason::None || m_parts.clock.now() >= m_decision.deadline) {
+        m_retryObstacle = "over";
         return false;
-    if (!m_body->holdForReplay())
+    }
+    if (!m_body->holdForReplay()) {
+        m_retryObstacle = "body-not-kept";
         return false;
+    }
     const auto grant = m_parts.control.retry.acquireRetry(id(), service(), reason);
     m_backoff = grant ? grant->delay : Duration(0);
+    if (!grant)
+        m_retryObstacle = "budget";
     return grant.has_value();
 }
 
@@ -554,8 +561,8 @@
             { "configuration", m_decision.configuration ? m_decision.configuration->number() : 0 },
             { "allowed-ms", inMilliseconds(context.remaining) },
             { "took-ms", inMilliseconds(m_parts.clock.now() - m_receivedAt) }, { "attempts", trailText() },
-            { "quota", toText(m_quota) }, { "retry-after-ms", inMilliseconds(m_retryAfter) },
-            { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
+            { "no-retry", m_retryObstacle }, { "quota", toText(m_quota) },
+            { "retry-after-ms", inMilliseconds(m_retryAfter) }, { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
 }
 
 // Gives back what the request held.
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -85,6 +85,8 @@
         Duration took { 0 };
     };
     std::vector<TrailStep> m_trail;
+    /// Why the last attempt was not followed by another one, as the log tells it; empty when nothing stood in the way.
+    std::string_view m_retryObstacle;
     std::string m_idempotencyKey;
     bool m_claimed { false };
     std::optional<QuotaDecision> m_token;
