--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -198,6 +198,9 @@
 {
     auto& self = *m_implementation;
     auto piece = co_await readPiece(self.socket, self.buffer, *self.parser);
+    // Whatever is wrong with an answer, its caller gets no more of it.
+    if (piece.end == BodyEnd::Malformed)
+        piece.end = BodyEnd::Cut;
     if (piece.bytes.size() > self.bodyLeft)
         co_return BodyPiece { {}, BodyEnd::Cut };
     self.bodyLeft -= piece.bytes.size();
