Reset a connection whose end would make a cut reply look whole

What callers saw: a caller of HTTP/1.0 got the first part of an answer that its server had broken off, with 200, the server's signature and an orderly end of the connection, which is how a whole body ends for it (MIXED).

Cause: breaking off closed the socket in order, whatever the reply's framing.

Evidence: ThenNoCallerTakesItForWhole fails before for HTTP/1.0, and passes for HTTP/1.1, where the last chunk is missing.

Change: a reply that ends with its connection is broken off with a reset.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -202,7 +202,16 @@
     m_implementation->connection->readAhead(std::move(callback));
 }
 
-void HttpExchange::abort() { m_implementation->connection->close(); }
+void HttpExchange::abort()
+{
+    auto& self = *m_implementation;
+    // Where the end of the connection is the end of the reply, only a reset tells that the reply is cut short.
+    const bool endsWithConnection = self.serializer && !self.finished && self.response.need_eof();
+    ErrorCode ignored;
+    if (endsWithConnection)
+        self.connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    self.connection->close();
+}
 
 // --- The server -----------------------------------------------------------------------------------------------------
 
--- a/tests/RequestFramingTests.cpp
+++ b/tests/RequestFramingTests.cpp
@@ -343,4 +343,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenItEndsEarly)
+
+// Guards against a part of an answer that a caller of HTTP/1.0, to whom its end is the connection's, takes for all of
+// it.
+BOOST_AUTO_TEST_CASE(ThenNoCallerTakesItForWhole)
+{
+    giveAnswers("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n", true);
+    for (const std::string version : { "1.1", "1.0" }) {
+        BOOST_TEST_CONTEXT(version)
+        {
+            RawConnection connection(entry.callers());
+            connection.send(headOf("POST", "/write/one", version, "cut-" + version) + "\r\n");
+            auto answer = connection.readHead(patience);
+            BOOST_REQUIRE(answer);
+            const bool hasFraming = !(answer->header("Transfer-Encoding") + answer->header("Content-Length")).empty();
+            if (hasFraming)
+                connection.readBody(*answer, patience);
+            BOOST_TEST(!answer->whole);
+            BOOST_TEST(connection.awaitEnd(patience));
+            BOOST_TEST((hasFraming || connection.wasReset()));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/RawSockets.cpp
+++ b/tests/fleet/RawSockets.cpp
@@ -100,6 +100,7 @@
         return false;
     const auto count = recv(m_descriptor, bytes, sizeof(bytes), 0);
     m_ended = count <= 0;
+    m_wasReset = count < 0 && errno == ECONNRESET;
     if (count > 0)
         m_buffer.append(bytes, static_cast<size_t>(count));
     return count > 0;
--- a/tests/fleet/RawSockets.h
+++ b/tests/fleet/RawSockets.h
@@ -52,6 +52,8 @@
     bool awaitBytes(size_t count, std::chrono::milliseconds limit);
     // Whether the other side ends the connection within the limit. What it sends before is dropped.
     bool awaitEnd(std::chrono::milliseconds limit);
+    // Whether the other side ended the connection with a reset.
+    bool wasReset() const { return m_wasReset; }
     // Sends nothing more, and reads on.
     void finishSending();
     // Ends the connection with a reset.
@@ -63,6 +65,7 @@
 
     int m_descriptor;
     bool m_ended = false;
+    bool m_wasReset = false;
     std::string m_buffer;
 };
 
