Compare what servers got only once they have ended

Cause: the test. In each trace the caller has the early answer of a server (200, its signature) that is still reading, and notes its arrival when it has read.

Change: the test waits until no server reads for an upload any more, and fails if one does not end. It is stricter: bytes that came after the answer were not compared before. Faults are errors of the test now, with their seed.

--- a/tests/UploadTests.cpp
+++ b/tests/UploadTests.cpp
@@ -173,9 +173,11 @@
         arrivals[upload.id].clear();
     }
 
+    // Takes up an arrival, and tells what to do with it.
     ServerStep nextStep(const std::string& id)
     {
         std::lock_guard guard(lock);
+        ++arrivalsUnderWay;
         auto& steps = plans[id];
         if (steps.empty())
             return {};
@@ -196,6 +198,7 @@
                 || (step.kind == Kind::Run && request->whole);
             std::lock_guard guard(lock);
             arrivals[id].push_back({ server, request->target(), request->body, request->whole, began });
+            --arrivalsUnderWay;
             if (!goesOn)
                 return;
         }
@@ -343,6 +346,13 @@
         return text;
     }
 
+    // A server that answers early still reads when its caller has the answer.
+    bool haveArrivalsEnded()
+    {
+        std::lock_guard guard(lock);
+        return !arrivalsUnderWay;
+    }
+
     // Plays several uploads at once; what went wrong with them.
     std::vector<std::string> playTogether(uint64_t seed)
     {
@@ -359,6 +369,8 @@
                 callers.emplace_back([&, i] { answers[i] = ask(uploads[i]); });
         }
         std::vector<std::string> faults;
+        if (!eventually([this] { return haveArrivalsEnded(); }))
+            faults.emplace_back("a server still reads");
         for (size_t i = 0; i < uploads.size(); ++i) {
             if (auto fault = faultOf(uploads[i], answers[i]); !fault.empty())
                 faults.push_back(fault + ": " + describe(uploads[i], answers[i]));
@@ -370,6 +382,7 @@
     std::mutex lock;
     std::map<std::string, std::vector<ServerStep>> plans;
     std::map<std::string, std::vector<Arrival>> arrivals;
+    size_t arrivalsUnderWay = 0;
     std::map<int, int> statuses;
     milliseconds longestWait { 0 };
     int warmUps = 0;
@@ -392,7 +405,7 @@
         const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
         const auto faults = playTogether(seed);
         for (const auto& fault : faults)
-            BOOST_TEST_MESSAGE("seed " << seed << ": " << fault);
+            BOOST_ERROR("seed " << seed << ": " << fault);
         RC_ASSERT(faults.empty());
     });
     BOOST_TEST(holds);
