Log why a peer is given up, how connections end, and refused connections

Three hypotheses about a late change, and three about a node that accepts nothing, could not be told apart: no line said which peer had been asked in vain, nor that a connection between nodes had ended with what was on its way, and a connection of a caller that was turned away or could not be accepted left no trace at all.

- configuration-peer-given-up: the peer, why, and how long the fetch lasts
- peer-connection-lost: the peer, why, age and silence of a connection
- callers-not-accepted, callers-accepted-again: one line for each change
- connections_accepted, connections_turned_away, accepts_failed

The controller Intake keeps what the last three rest on, on the board. It decides nothing yet.

--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -43,6 +43,12 @@
     return m_freshness;
 }
 
+IntakeRecord IntakeFacts::record() const
+{
+    std::lock_guard guard(m_lock);
+    return m_record;
+}
+
 struct Board::Facts {
     explicit Facts(Identity identity)
         : self(std::move(identity))
@@ -62,6 +68,7 @@
     Sharded<AttemptId, VerdictRecord> verdicts;
     Sharded<DuplicateKey, DuplicateRecord> duplicates;
     ConfigurationFacts configuration;
+    IntakeFacts intake;
     Outbox outbox;
     Counters counters;
     std::atomic<bool> draining { false };
@@ -101,6 +108,7 @@
 Sharded<DuplicateKey, DuplicateRecord>& Board::duplicates() { return m_facts->duplicates; }
 
 ConfigurationFacts& Board::configuration() { return m_facts->configuration; }
+IntakeFacts& Board::intake() { return m_facts->intake; }
 
 Outbox& Board::outbox() { return m_facts->outbox; }
 
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -65,6 +65,22 @@
     FreshnessRecord m_freshness;
 };
 
+/// Whether callers' connections are accepted.
+class IntakeFacts {
+public:
+    IntakeRecord record() const;
+    /// Runs `use(IntakeRecord&)` under the lock.
+    template <typename Use> void update(Use&& use)
+    {
+        std::lock_guard guard(m_lock);
+        use(m_record);
+    }
+
+private:
+    mutable std::mutex m_lock;
+    IntakeRecord m_record;
+};
+
 /// All facts of one node.
 class Board {
 public:
@@ -90,6 +106,7 @@
     Sharded<AttemptId, VerdictRecord>& verdicts();
     Sharded<DuplicateKey, DuplicateRecord>& duplicates();
     ConfigurationFacts& configuration();
+    IntakeFacts& intake();
     Outbox& outbox();
     Counters& counters();
 
--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -30,6 +30,10 @@
     PeerConnectionsLost,
     ControlBytesSent,
     ControlBytesReceived,
+    // Callers' connections.
+    ConnectionsAccepted,
+    ConnectionsTurnedAway,
+    AcceptsFailed,
     // Quota.
     QuotaPulls,
     QuotaTokensCreated,
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -197,6 +197,16 @@
     Instant forgetAt;
 };
 
+// --- Callers' connections ------------------------------------------------------------------------------------------
+
+/// What became of the connections that callers tried to open. The epoch stands for never.
+struct IntakeRecord {
+    Instant acceptedAt;
+    /// When a connection was last turned away or could not be accepted, and since when that has gone on.
+    Instant refusedAt;
+    Instant refusedSince;
+};
+
 // --- Configuration ------------------------------------------------------------------------------------------------
 
 /// What is known of how fresh the configuration in force is.
--- a/src/dissemination/DisseminationState.h
+++ b/src/dissemination/DisseminationState.h
@@ -81,7 +81,8 @@
     // The peers' side, in Fetching.cpp.
     void fetch(Instant now, Effects&);
     void askNextPeer(Instant now, Effects&);
-    void giveUpPeer(Instant now, Effects&);
+    void giveUpPeer(std::string_view why, Instant now, Effects&);
+    void logGivenUp(std::string_view why, Instant now) const;
     std::optional<Endpoint> drawPeer();
     void requestSections(Instant now, Effects&);
     void finishFetch(Effects&);
--- a/src/dissemination/Fetching.cpp
+++ b/src/dissemination/Fetching.cpp
@@ -26,6 +26,7 @@
     if (now < fetching->deadline)
         return;
     // 2. Go on to others, and to the store when they do not help.
+    logGivenUp("no-answer", now);
     fetching->peer.clear();
     if (fetching->peersTried >= settings.peersTried && now >= nextStoreFetch) {
         nextStoreFetch = now + random.jittered(settings.storeRetry, 0.5);
@@ -61,8 +62,9 @@
 }
 
 // Goes on to another peer at once, unless enough were tried: then the deadline has to pass first.
-void Dissemination::State::giveUpPeer(Instant now, Effects& effects)
+void Dissemination::State::giveUpPeer(std::string_view why, Instant now, Effects& effects)
 {
+    logGivenUp(why, now);
     fetching->peer.clear();
     if (fetching->peersTried < settings.peersTried)
         askNextPeer(now, effects);
@@ -82,13 +84,13 @@
     if (!fetching || from != fetching->peer)
         return;
     if (list.number <= heldNumber()) {
-        giveUpPeer(now, effects);
+        giveUpPeer("behind", now, effects);
         return;
     }
     auto hashes = store.resolve(list);
     if (!hashes) {
         fetching->wantsWholeList = true;
-        giveUpPeer(now, effects);
+        giveUpPeer("other-base", now, effects);
         return;
     }
     fetching->number = list.number;
@@ -146,7 +148,7 @@
     board.counters().add(Counter::SectionsFetched, useful);
     // A peer that has gone on to another configuration cannot help any more.
     if (useful == 0) {
-        giveUpPeer(now, effects);
+        giveUpPeer("sections-gone", now, effects);
         return;
     }
     requestSections(now, effects);
@@ -172,6 +174,14 @@
     take(number, std::move(checked), effects);
 }
 
+void Dissemination::State::logGivenUp(std::string_view why, Instant now) const
+{
+    if (!fetching->peer.empty())
+        log(LogLevel::Info, "configuration-peer-given-up",
+            { { "number", fetching->number }, { "held", heldNumber() }, { "peer", fetching->peer }, { "why", why },
+                { "peers-tried", fetching->peersTried }, { "fetching-ms", inMilliseconds(now - fetching->begunAt) } });
+}
+
 void Dissemination::State::logFetched() const
 {
     log(LogLevel::Info, "configuration-fetched",
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -117,6 +117,16 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
+/// What became of a connection that somebody tried to open.
+enum class Acceptance : uint8_t {
+    Accepted,
+    /// Closed at once: as many as are allowed are in use.
+    TurnedAway,
+    /// Could not be accepted, for want of descriptors for instance.
+    Failed,
+};
+constexpr size_t acceptanceCount = 3;
+
 /// What a server does with requests. One object serves many exchanges at once.
 class HttpHandler {
 public:
@@ -125,6 +135,8 @@
     virtual Task<void> serve(std::shared_ptr<HttpExchange>) = 0;
     /// The reply to something that could not be read as a request.
     virtual SimpleReply rejection(Reason) = 0;
+    /// Told of each connection that is tried; from any thread.
+    virtual void noteAcceptance(Acceptance) { }
 };
 
 /// Why a server could not be started.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -277,12 +277,16 @@
         if (error == boost::asio::error::operation_aborted)
             co_return;
         if (error) {
+            handler.noteAcceptance(Acceptance::Failed);
             pause.expires_after(acceptPause);
             co_await pause.async_wait(redirect_error(useAwaitable, error));
             continue;
         }
-        if (count() >= limits.connections)
+        if (count() >= limits.connections) {
+            handler.noteAcceptance(Acceptance::TurnedAway);
             continue;
+        }
+        handler.noteAcceptance(Acceptance::Accepted);
         socket.set_option(Tcp::no_delay(true), error);
         auto connection = std::make_shared<HttpConnection>(std::move(socket), limits);
         add(connection);
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -114,10 +114,24 @@
     if (doubts != std::exchange(m_wasInDoubt, doubts))
         log(LogLevel::Warning, doubts ? "membership-in-doubt" : "membership-doubt-over",
             { { "live-members", m_parts.control.membership.liveMembers() } });
+    reportIntake();
     auto slots = m_parts.control.quota.heldSlots();
     if (slots != m_heldSlots)
         log(LogLevel::Info, "quota-slots-held", { { "count", slots.size() } });
     m_heldSlots = std::move(slots);
 }
 
+// A flood is told by two lines, however many connections it brings.
+void Duties::reportIntake()
+{
+    const auto& counters = m_parts.board.counters();
+    const bool refuses = m_parts.control.intake.refuses();
+    if (refuses != std::exchange(m_wasRefusingConnections, refuses))
+        log(refuses ? LogLevel::Warning : LogLevel::Info, refuses ? "callers-not-accepted" : "callers-accepted-again",
+            { { "accepted", counters.value(Counter::ConnectionsAccepted) },
+                { "turned-away", counters.value(Counter::ConnectionsTurnedAway) },
+                { "failed", counters.value(Counter::AcceptsFailed) },
+                { "lag-ms", inMilliseconds(m_parts.board.lag()) } });
+}
+
 } // namespace Vanillaridge
--- a/src/node/Duties.h
+++ b/src/node/Duties.h
@@ -27,6 +27,7 @@
     void tickControllers();
     void tickAdmission();
     void reportChanges();
+    void reportIntake();
 
     Parts& m_parts;
     tbb::task_arena m_arena;
@@ -39,6 +40,7 @@
     bool m_wasServing { true };
     bool m_wasWatching { false };
     bool m_wasInDoubt { false };
+    bool m_wasRefusingConnections { false };
     std::vector<uint32_t> m_heldSlots;
 };
 
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -18,6 +18,13 @@
     co_await m_flow.serveCaller(std::move(exchange));
 }
 
+void CallerHandler::noteAcceptance(Acceptance acceptance)
+{
+    constexpr std::array<void (Intake::*)(), acceptanceCount> notes { &Intake::noteAccepted, &Intake::noteTurnedAway,
+        &Intake::noteFailed };
+    (m_intake.*notes[static_cast<size_t>(acceptance)])();
+}
+
 // --- Backend servers ------------------------------------------------------------------------------------------------
 
 namespace {
--- a/src/node/Handlers.h
+++ b/src/node/Handlers.h
@@ -25,12 +25,15 @@
 public:
     CallerHandler(Parts& parts, EntryFlow& flow)
         : CountingHandler(parts.board, parts.dialect)
+        , m_intake(parts.control.intake)
         , m_flow(flow)
     {
     }
     Task<void> serve(std::shared_ptr<HttpExchange>) override;
+    void noteAcceptance(Acceptance) override;
 
 private:
+    Intake& m_intake;
     EntryFlow& m_flow;
 };
 
--- a/src/node/Parts.cpp
+++ b/src/node/Parts.cpp
@@ -31,6 +31,7 @@
     , directory(board, clock, random, objects, {})
     , dissemination(board, clock, random, objects, codec, { .manifestObject = manifestObject })
     , freshness(board, clock, {})
+    , intake(board, clock)
     , quota(board, clock, random, objects, settings.quota)
     , retry(board, clock, random)
     , entry(board, clock, random, freshness, retry)
--- a/src/node/Parts.h
+++ b/src/node/Parts.h
@@ -9,6 +9,7 @@
 #include "entry/Entry.h"
 #include "freshness/Freshness.h"
 #include "http/Http.h"
+#include "intake/Intake.h"
 #include "membership/Membership.h"
 #include "node/LatencyHistogram.h"
 #include "node/LoopLag.h"
@@ -56,6 +57,7 @@
     Directory directory;
     Dissemination dissemination;
     Freshness freshness;
+    Intake intake;
     Quota quota;
     Retry retry;
     Entry entry;
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -70,7 +70,8 @@
     , m_strand(socket.get_executor())
     , m_socket(std::move(socket))
     , m_watchTimer(m_strand)
-    , m_usedAt(m_peers->clock.now())
+    , m_madeAt(m_peers->clock.now())
+    , m_usedAt(m_madeAt)
 {
 }
 
@@ -79,7 +80,8 @@
     , m_strand(boost::asio::make_strand(m_peers->context))
     , m_socket(m_strand)
     , m_watchTimer(m_strand)
-    , m_usedAt(m_peers->clock.now())
+    , m_madeAt(m_peers->clock.now())
+    , m_usedAt(m_madeAt)
 {
 }
 
@@ -119,7 +121,7 @@
         startWatching();
         co_await readMessages();
     }
-    becomeLost();
+    becomeLost("ended");
 }
 
 Task<void> Connection::accept()
@@ -130,7 +132,7 @@
         startWatching();
         co_await readMessages();
     }
-    becomeLost();
+    becomeLost("ended");
 }
 
 // Each side sends its Hello at once, and under the keys that both Hellos make a Ready, which ties its clock to ours.
@@ -183,7 +185,7 @@
     m_watchTimer.async_wait([weak = weak_from_this()](const ErrorCode& error) {
         const auto self = weak.lock();
         if (self && !error && self->m_state.load() == State::Connecting)
-            self->becomeLost();
+            self->becomeLost("no-handshake");
     });
 }
 
@@ -250,7 +252,7 @@
         stream->lose();
     }
     if (!left)
-        becomeLost();
+        becomeLost("silent");
 }
 
 // A silent connection that is heard again is as good as before.
@@ -262,7 +264,16 @@
         m_unansweredPing.reset();
 }
 
-void Connection::becomeLost()
+// A reply that was on its way is lost with the connection, and nobody else tells.
+void Connection::reportLost(std::string_view why) const
+{
+    const auto now = m_peers->clock.now();
+    log(LogLevel::Info, "peer-connection-lost",
+        { { "peer", peer().endpoint }, { "why", why }, { "age-ms", inMilliseconds(now - m_madeAt) },
+            { "silent-ms", inMilliseconds(stampOf(now) - Duration(m_heardAt.load())) } });
+}
+
+void Connection::becomeLost(std::string_view why)
 {
     std::vector<std::shared_ptr<Waiter>> waiters;
     std::unordered_map<uint64_t, std::shared_ptr<QueuedStream>> streams;
@@ -275,6 +286,8 @@
         waiters = std::exchange(m_waiters, {});
         streams = std::exchange(m_streams, {});
     }
+    if (before != State::Connecting)
+        reportLost(why);
     if (!streams.empty() && before != State::Silent)
         m_peers->board.counters().add(Counter::PeerConnectionsLost);
     for (const auto& [number, stream] : streams)
@@ -287,7 +300,7 @@
 
 void Connection::close()
 {
-    boost::asio::post(m_strand, [self = shared_from_this()] { self->becomeLost(); });
+    boost::asio::post(m_strand, [self = shared_from_this()] { self->becomeLost("closed"); });
 }
 
 // --- Reading --------------------------------------------------------------------------------------------------------
@@ -426,7 +439,7 @@
                 stream = found->second;
         }
         if (stream && !stream->deliver(std::move(message)))
-            becomeLost();
+            becomeLost("protocol");
     }
 }
 
@@ -523,10 +536,10 @@
         if (streamCount())
             m_usedAt = now;
         else if (now - m_usedAt > settings.idleTimeout)
-            becomeLost();
+            becomeLost("idle");
         if (!streamCount()) {
             if (m_state.load() == State::Silent)
-                becomeLost();
+                becomeLost("silent");
             continue;
         }
 
@@ -593,7 +606,7 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
         boost::asio::bind_executor(m_strand, [self = shared_from_this()](const ErrorCode& error, size_t) {
             if (error)
-                self->becomeLost();
+                self->becomeLost("not-written");
             else
                 self->writeNext();
         }));
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -90,7 +90,9 @@
     void becomeReady();
     void becomeSilent();
     void noteHeard();
-    void becomeLost();
+    /// \param why what a log line says of the end of a connection that was ready
+    void becomeLost(std::string_view why);
+    void reportLost(std::string_view why) const;
     void wake(std::vector<std::shared_ptr<Waiter>>);
     bool silentFor(Duration) const;
     size_t streamCount();
@@ -109,6 +111,7 @@
     size_t m_inputEnd { 0 };
     std::optional<PeerClock> m_clockOfPeer;
     Instant m_challengedAt;
+    const Instant m_madeAt;
     Instant m_usedAt;
     std::atomic<Duration::rep> m_heardAt { 0 };
     std::optional<uint64_t> m_unansweredPing;
