--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -1,7 +1,6 @@
 // libraries: http
-#include "http/Http.h"
+#include "HttpServed.h"
 
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,94 +14,6 @@
 #include <thread>
 
 using namespace Vanillaridge;
-using Tcp = boost::asio::ip::tcp;
-
-namespace {
-
-// Answers each request with its own body or target; "/wait" is answered once its caller has left, to nobody.
-class Echo final : public HttpHandler {
-public:
-    Task<void> serve(std::shared_ptr<HttpExchange> exchange) override
-    {
-        if (exchange->head().target == "/wait") {
-            co_await awaitLeaving(exchange);
-            co_return;
-        }
-        std::string body = exchange->head().target;
-        BodyEnd end = exchange->head().hasBody ? BodyEnd::More : BodyEnd::Last;
-        while (end == BodyEnd::More) {
-            auto piece = co_await exchange->readBody();
-            body += piece.bytes;
-            end = piece.end;
-        }
-        SimpleReply reply { end == BodyEnd::Last ? uint16_t(200) : uint16_t(408), {}, body };
-        co_await exchange->reply(std::move(reply));
-    }
-
-    SimpleReply rejection(Reason reason) override
-    {
-        return { row(reason).httpStatus, {}, std::string(toText(reason)) };
-    }
-
-    std::promise<void> callerLeft;
-
-private:
-    Task<void> awaitLeaving(std::shared_ptr<HttpExchange> exchange)
-    {
-        const auto left = std::make_shared<Event>();
-        exchange->onCallerGone([left] { left->set(); });
-        const bool told = co_await left->wait();
-        if (told)
-            callerLeft.set_value();
-    }
-};
-
-// A server on a thread of its own.
-struct Served {
-    explicit Served(HttpLimits limits = {})
-        : server(context, limits, echo)
-    {
-        BOOST_REQUIRE(!server.listen("127.0.0.1:0"));
-        thread = std::jthread([this] { context.run(); });
-    }
-
-    ~Served() { context.stop(); }
-
-    Tcp::endpoint address() const
-    {
-        const auto text = server.endpoint();
-        return { boost::asio::ip::make_address("127.0.0.1"),
-            static_cast<uint16_t>(std::stoul(text.substr(text.rfind(':') + 1))) };
-    }
-
-    Echo echo;
-    boost::asio::io_context context { 1 };
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
-    HttpServer server;
-    std::jthread thread;
-};
-
-// A caller that writes bytes as given, and reads until a text has come.
-struct Caller {
-    explicit Caller(const Served& served) { socket.connect(served.address()); }
-
-    void write(std::string_view text) { boost::asio::write(socket, boost::asio::buffer(text)); }
-
-    std::string readUntil(std::string_view end)
-    {
-        std::string text;
-        std::array<char, 4096> bytes;
-        boost::system::error_code error;
-        while (!error && text.find(end) == std::string::npos)
-            text.append(bytes.data(), socket.read_some(boost::asio::buffer(bytes), error));
-        return text;
-    }
-
-    boost::asio::io_context context;
-    Tcp::socket socket { context };
-};
-
-} // namespace
 
 BOOST_AUTO_TEST_SUITE(GivenAServer)
 
