Drop the connection to a machine once another is met at its address

Cause: a node answers control messages over its own connection to the asker's endpoint. That connection led to the lost machine. Nothing closes or pings it while no request waits on it, so the list of sections that the new node had asked for was lost, and a peer that is asked in vain costs a second.

A node that proves who it is under another boot outlives every connection that was made to its endpoint before.

--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -128,6 +128,7 @@
 {
     const bool shaken = co_await shakeHands();
     if (shaken) {
+        m_peers->onAccepted(*this);
         becomeReady();
         startWatching();
         co_await readMessages();
@@ -298,9 +299,16 @@
     m_socket.close(ignored);
 }
 
-void Connection::close()
+void Connection::close(std::string_view why)
 {
-    boost::asio::post(m_strand, [self = shared_from_this()] { self->becomeLost("closed"); });
+    boost::asio::post(m_strand, [self = shared_from_this(), why] { self->becomeLost(why); });
+}
+
+// A process that shook hands later, under another boot, at the same endpoint: the earlier one is gone.
+bool Connection::isOutlivedBy(const Connection& other) const
+{
+    return isOpen() && m_madeAt < other.m_madeAt && peer().endpoint == other.peer().endpoint
+        && peer().boot != other.peer().boot;
 }
 
 // --- Reading --------------------------------------------------------------------------------------------------------
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -15,6 +15,8 @@
 using PeerSocket = boost::asio::basic_stream_socket<Tcp, Strand>;
 using ErrorCode = boost::system::error_code;
 
+class Connection;
+
 /// What the connections of one node share.
 struct PeerContext {
     boost::asio::io_context& context;
@@ -24,6 +26,8 @@
     Authenticator authenticator;
     PeerHandler& handler;
     PeerSettings settings;
+    /// Told of each connection that another node has made, once it has proved who it is.
+    std::function<void(const Connection&)> onAccepted;
 
     Hello hello() const;
 };
@@ -47,14 +51,19 @@
     /// Appends a message to what is to be written. False when the connection is not, or no longer, ready.
     bool send(uint64_t stream, const StreamMessage&);
     /// Closes the socket; streams are told.
-    void close();
+    /// \param why what a log line says of it
+    void close(std::string_view why = "closed");
 
     /// Whether new streams need another connection.
     bool refusesStreams() const { return m_state.load() >= State::Silent; }
     bool lost() const { return m_state.load() == State::Lost; }
     /// Whether messages wait to be written.
     bool hasUnsent();
+    /// Only once the connection has been ready.
     const Hello& peer() const { return m_session->peer(); }
+    /// Whether this connection leads to an earlier process at the other's endpoint, or to a machine that had the
+    /// endpoint before.
+    bool isOutlivedBy(const Connection& other) const;
 
 private:
     enum class State : uint8_t {
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -38,7 +38,7 @@
     Implementation(boost::asio::io_context& context, Board& board, const Clock& clock, RandomSource& random,
         std::string_view secret, PeerHandler& handler, PeerSettings settings)
         : peers(std::make_shared<PeerContext>(
-            PeerContext { context, board, clock, random, Authenticator(secret), handler, settings }))
+            PeerContext { context, board, clock, random, Authenticator(secret), handler, settings, {} }))
         , acceptor(boost::asio::make_strand(context))
         , datagrams(boost::asio::make_strand(context))
     {
@@ -53,6 +53,7 @@
     Task<void> sendControl(OutgoingMessage);
     template <typename Use> void forEachConnection(Use&&);
     std::shared_ptr<Connection> connectionTo(const Endpoint&);
+    void dropOutlived(const Connection&);
     void startServing(const MessageStreamPointer&);
     void startClosing(const std::shared_ptr<Connection>&);
     Task<void> closeAfter(std::shared_ptr<Connection>, Duration);
@@ -101,6 +102,10 @@
     auto& self = *m_implementation;
     if (const auto error = self.bind())
         return error;
+    self.peers->onAccepted = [weak = m_implementation->weak_from_this()](const Connection& accepted) {
+        if (const auto implementation = weak.lock())
+            implementation->dropOutlived(accepted);
+    };
     boost::asio::co_spawn(self.acceptor.get_executor(), self.accept(), boost::asio::detached);
     boost::asio::co_spawn(self.datagrams.get_executor(), self.receiveDatagrams(), boost::asio::detached);
     self.peers->board.outbox().onPost([weak = m_implementation->weak_from_this()] {
@@ -274,6 +279,22 @@
     return connection;
 }
 
+// A machine that is lost closes nothing, and whoever gets its address next need not reset what was open: what is sent
+// on that connection, such as the reply to the other's first message, is lost without a word.
+void PeerTransport::Implementation::dropOutlived(const Connection& accepted)
+{
+    std::shared_ptr<Connection> outlived;
+    outgoing.with(accepted.peer().endpoint, [&](auto& connections) {
+        const auto found = connections.find(accepted.peer().endpoint);
+        if (found == connections.end() || !found->second->isOutlivedBy(accepted))
+            return;
+        outlived = std::move(found->second);
+        connections.erase(found);
+    });
+    if (outlived)
+        outlived->close("outlived");
+}
+
 namespace {
 
     Task<void> serveLocal(std::shared_ptr<PeerContext> peers, MessageStreamPointer stream)
