Ping a connection between nodes that carries control messages only

A control message that is followed by silence now has the connection pinged, and closed 1.5 s later.

--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -260,6 +260,7 @@
 void Connection::noteHeard()
 {
     m_heardAt = stampOf(m_peers->clock.now()).count();
+    m_awaitsWord = false;
     auto silent = State::Silent;
     if (m_state.compare_exchange_strong(silent, State::Ready))
         m_unansweredPing.reset();
@@ -520,8 +521,8 @@
     return stampOf(m_peers->clock.now()) - Duration(m_heardAt.load()) > limit;
 }
 
-// An open connection can go silent for good while new ones work, so one that requests wait on is pinged, and counts as
-// silent when no answer comes. One that nobody uses is closed.
+// An open connection can go silent for good while new ones work, so one that is in use is pinged, and counts as silent
+// when no answer comes. One that nobody uses is closed.
 void Connection::startWatching() { boost::asio::co_spawn(m_strand, watch(shared_from_this()), boost::asio::detached); }
 
 Task<void> Connection::watch(std::shared_ptr<Connection> self) { co_await self->keepWatch(); }
@@ -545,13 +546,12 @@
             m_usedAt = now;
         else if (now - m_usedAt > settings.idleTimeout)
             becomeLost("idle");
-        if (!streamCount()) {
-            if (m_state.load() == State::Silent)
-                becomeLost("silent");
+        if (!streamCount() && m_state.load() == State::Silent)
+            becomeLost("silent");
+        if (!streamCount() && !m_awaitsWord)
             continue;
-        }
 
-        // 2. Requests wait on a silent connection.
+        // 2. Requests wait on a silent connection, or control messages may have been lost with it.
         if (m_unansweredPing && now - m_pingedAt > settings.pingTimeout) {
             becomeSilent();
         } else if (!m_unansweredPing && (silentFor(settings.pingAfter) || now - m_pingedAt > settings.clockPeriod)) {
@@ -587,6 +587,8 @@
             return false;
         startWriting = !std::exchange(m_isWriting, true);
     }
+    if (std::holds_alternative<ControlMessage>(message))
+        m_awaitsWord = true;
     m_peers->board.counters().add(Counter::PeerMessagesSent);
     if (startWriting)
         boost::asio::post(m_strand, [self = shared_from_this()] { self->writeNext(); });
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -63,8 +63,9 @@
 struct PeerSettings {
     /// Longest wait for a new connection to be ready.
     Duration connectTimeout { seconds(1) };
-    /// A connection that requests wait on is pinged after so much silence, and counts as silent after so much more: it
-    /// takes no new requests and is given up, except for streams that wait through silence.
+    /// A connection in use, by requests or by a control message that it has carried, is pinged after so much silence,
+    /// and counts as silent after so much more: it takes no new requests and is given up, except for streams that wait
+    /// through silence.
     Duration pingAfter { milliseconds(500) };
     Duration pingTimeout { seconds(1) };
     /// How often a connection in use ties the other side's clock to ours anew.
