Accept all connections that wait in one round of the event loop

One connection was accepted in each round. A node short of processor time has long rounds: at 30 ms it accepts 33 connections a second, while callers that open a new one for each try give up after a second and come again. The queue fills, and /ready, which is asked once a second, is still answered.

Sibling: connections between nodes were accepted in the same way, and are now accepted in the same new way.

--- a/src/address/Address.h
+++ b/src/address/Address.h
@@ -11,7 +11,7 @@
 /// Reads "address:port" or "[address]:port" by number; nothing when the text is no endpoint.
 std::optional<boost::asio::ip::tcp::endpoint> tcpEndpoint(std::string_view);
 
-/// Opens, binds and listens; the first error that it meets.
+/// Opens, binds and listens without blocking; the first error that it meets.
 template <typename Acceptor>
 boost::system::error_code openAcceptor(Acceptor& acceptor, const boost::asio::ip::tcp::endpoint& address)
 {
@@ -23,7 +23,29 @@
         acceptor.bind(address, error);
     if (!error)
         acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (!error)
+        acceptor.non_blocking(true, error);
     return error;
 }
 
+/// Connections accepted before other work gets its turn.
+constexpr int acceptsPerRound = 64;
+
+/// Runs `take(Socket)` on the connections that wait to be accepted already, since each round of the event loop can be
+/// long, and the queue is bounded. The acceptor does not block; the error that ended it, if any.
+/// \param makeSocket makes the socket that the next connection is accepted into
+template <typename Acceptor, typename MakeSocket, typename Take>
+boost::system::error_code acceptWaiting(Acceptor& acceptor, MakeSocket&& makeSocket, Take&& take)
+{
+    for (int i = 0; i < acceptsPerRound; ++i) {
+        auto socket = makeSocket();
+        boost::system::error_code error;
+        acceptor.accept(socket, error);
+        if (error)
+            return error == boost::asio::error::would_block ? boost::system::error_code() : error;
+        take(std::move(socket));
+    }
+    return {};
+}
+
 } // namespace Vanillaridge
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -226,6 +226,13 @@
     }
 
     Task<void> accept();
+    TcpSocket makeSocket() { return TcpSocket(boost::asio::make_strand(context)); }
+    ErrorCode takeWaiting()
+    {
+        return acceptWaiting(
+            acceptor, [this] { return makeSocket(); }, [this](TcpSocket socket) { take(std::move(socket)); });
+    }
+    void take(TcpSocket);
     Task<void> sweep();
     void endLateSteps();
     Task<void> serve(std::shared_ptr<HttpConnection>);
@@ -270,32 +277,39 @@
     const auto self = shared_from_this();
     boost::asio::steady_timer pause(acceptor.get_executor());
     while (!draining) {
-        const auto strand = boost::asio::make_strand(context);
-        TcpSocket socket(strand);
+        auto socket = makeSocket();
         ErrorCode error;
         co_await acceptor.async_accept(socket, redirect_error(useAwaitable, error));
         if (error == boost::asio::error::operation_aborted)
             co_return;
+        if (!error) {
+            take(std::move(socket));
+            error = takeWaiting();
+        }
         if (error) {
             handler.noteAcceptance(Acceptance::Failed);
             pause.expires_after(acceptPause);
             co_await pause.async_wait(redirect_error(useAwaitable, error));
-            continue;
         }
-        if (count() >= limits.connections) {
-            handler.noteAcceptance(Acceptance::TurnedAway);
-            continue;
-        }
-        handler.noteAcceptance(Acceptance::Accepted);
-        socket.set_option(Tcp::no_delay(true), error);
-        auto connection = std::make_shared<HttpConnection>(std::move(socket), limits);
-        add(connection);
-        if (draining)
-            connection->closing = true;
-        boost::asio::co_spawn(strand, serve(connection), boost::asio::detached);
     }
 }
 
+void HttpServer::Implementation::take(TcpSocket socket)
+{
+    if (count() >= limits.connections) {
+        handler.noteAcceptance(Acceptance::TurnedAway);
+        return;
+    }
+    handler.noteAcceptance(Acceptance::Accepted);
+    ErrorCode ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    const auto connection = std::make_shared<HttpConnection>(std::move(socket), limits);
+    add(connection);
+    if (draining)
+        connection->closing = true;
+    boost::asio::co_spawn(connection->strand, serve(connection), boost::asio::detached);
+}
+
 Task<void> HttpServer::Implementation::serve(std::shared_ptr<HttpConnection> connection)
 {
     const auto self = shared_from_this();
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -46,6 +46,13 @@
 
     std::optional<PeerError> bind();
     Task<void> accept();
+    PeerSocket makeSocket() { return PeerSocket(boost::asio::make_strand(peers->context)); }
+    ErrorCode takeWaiting()
+    {
+        return acceptWaiting(
+            acceptor, [this] { return makeSocket(); }, [this](PeerSocket socket) { take(std::move(socket)); });
+    }
+    void take(PeerSocket);
     Task<void> receiveDatagrams();
     void handleDatagram(Bytes);
     void deliverOutbox();
@@ -155,27 +162,33 @@
     const auto self = shared_from_this();
     boost::asio::steady_timer pause(acceptor.get_executor());
     while (!stopped) {
-        const auto strand = boost::asio::make_strand(peers->context);
-        PeerSocket socket(strand);
+        auto socket = makeSocket();
         ErrorCode error;
         co_await acceptor.async_accept(socket, redirect_error(useAwaitable, error));
         if (error == boost::asio::error::operation_aborted)
             co_return;
+        if (!error) {
+            take(std::move(socket));
+            error = takeWaiting();
+        }
         if (error) {
             pause.expires_after(acceptPause);
             co_await pause.async_wait(redirect_error(useAwaitable, error));
-            continue;
         }
-        const auto connection = std::make_shared<Connection>(peers, std::move(socket));
-        {
-            std::lock_guard guard(incomingLock);
-            std::erase_if(incoming, [](const auto& weak) { return weak.expired(); });
-            incoming.push_back(connection);
-        }
-        connection->startAccepting();
     }
 }
 
+void PeerTransport::Implementation::take(PeerSocket socket)
+{
+    const auto connection = std::make_shared<Connection>(peers, std::move(socket));
+    {
+        std::lock_guard guard(incomingLock);
+        std::erase_if(incoming, [](const auto& weak) { return weak.expired(); });
+        incoming.push_back(connection);
+    }
+    connection->startAccepting();
+}
+
 // --- Datagrams ------------------------------------------------------------------------------------------------------
 
 Task<void> PeerTransport::Implementation::receiveDatagrams()
