Close idle connections before turning callers away

Anybody could keep all other callers out of a node, without a key, with 4,000 connections that send nothing or half a head: new ones were closed at once for as long as the idle ones were kept (60 s), while /ready answered 200.

When as many connections are open as are allowed, or no descriptor is left for a further one, those that have carried nothing for longest are closed first: they wait for a request, or for the rest of a head that began over a second ago. One on which a request comes at that moment stays. 1 in 64 of those allowed go at once, since finding them means looking at all of them.

--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -21,8 +21,11 @@
     Duration pieceTimeout { seconds(10) };
     /// How long a connection may lie idle between requests.
     Duration idleTimeout { seconds(75) };
-    /// Connections open at once; further ones are closed at once.
+    /// Connections open at once. A further one takes the place of those that have carried nothing for longest: they
+    /// wait for a request, or for the rest of a head that began more than headGrace ago. Where there are none it is
+    /// closed.
     size_t connections { 4096 };
+    Duration headGrace { seconds(1) };
 };
 
 /// Largest piece of a body handled at once.
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -44,24 +44,47 @@
     limit(limits.idleTimeout);
     if (!m_reading)
         readAhead({});
-    m_awaitsRequest = true;
+    wait(Wait::Request);
     if (closing)
         endIfIdle();
     while (m_reading)
         co_await readEnded().wait();
-    m_awaitsRequest = false;
+    wait(Wait::Nothing);
     unlimit();
     co_return !m_ended;
 }
 
 void HttpConnection::endIfIdle()
 {
-    if (!m_awaitsRequest || peekAt(socket) == SocketState::Readable)
+    if (m_wait != Wait::Request || peekAt(socket) == SocketState::Readable)
         return;
     ErrorCode ignored;
     socket.cancel(ignored);
 }
 
+void HttpConnection::wait(Wait what)
+{
+    m_waitsSince = BootClock::now().time_since_epoch().count();
+    m_wait = what;
+}
+
+std::optional<Instant> HttpConnection::idleSince(Instant now) const
+{
+    const auto what = m_wait.load();
+    const Instant since { Duration(m_waitsSince.load()) };
+    const bool isIdle = what == Wait::Request || (what == Wait::Head && now - since > limits.headGrace);
+    return isIdle ? std::optional(since) : std::nullopt;
+}
+
+bool HttpConnection::giveWay()
+{
+    const bool hasRequest = m_wait == Wait::Request && peekAt(socket) == SocketState::Readable;
+    if (m_wait == Wait::Nothing || hasRequest)
+        return false;
+    close();
+    return true;
+}
+
 void HttpConnection::readAhead(std::function<void()> callerGone)
 {
     m_callerGone = std::move(callerGone);
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -27,6 +27,14 @@
     Task<bool> awaitRequest();
     /// Ends the connection if it waits for a request of which nothing has come yet.
     void endIfIdle();
+    /// While the head of a request is being read.
+    void beginHead() { wait(Wait::Head); }
+    void endHead() { wait(Wait::Nothing); }
+    /// Since when the connection has carried nothing that a new one could not take the place of; nothing while it does.
+    std::optional<Instant> idleSince(Instant now) const;
+    /// Closes the connection if it still carries nothing; whether it did.
+    bool giveWay();
+
     /// Reads on while a request is served: tells whether the caller leaves, and takes the next request's first bytes.
     void readAhead(std::function<void()> callerGone);
     /// The exchange is over: whoever wanted to know whether the caller leaves does so no more.
@@ -47,6 +55,10 @@
     std::atomic<bool> closing { false };
 
 private:
+    /// What the other side is waited for.
+    enum class Wait : uint8_t { Nothing, Request, Head };
+
+    void wait(Wait);
     void takeRead(ErrorCode, size_t bytes);
     /// Happens when the read under way ends. The read owns it: held by whoever waits, or by the connection, it would
     /// keep both of them when the event loop is gone.
@@ -55,7 +67,8 @@
     std::atomic<Instant::rep> m_limit;
     bool m_expired { false };
     bool m_reading { false };
-    bool m_awaitsRequest { false };
+    std::atomic<Wait> m_wait { Wait::Nothing };
+    std::atomic<Instant::rep> m_waitsSince { 0 };
     bool m_ended { false };
     std::function<void()> m_callerGone;
     std::weak_ptr<Event> m_readEnded;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpConnection.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -16,6 +17,8 @@
     using ResponseSerializer = http::response_serializer<http::buffer_body>;
 
     constexpr Duration acceptPause = milliseconds(50);
+    // Of the connections allowed, one in so many is closed at once to make room.
+    constexpr size_t roomShare = 64;
     // How late the end of a time limit may be seen; short beside the shortest of them.
     constexpr Duration sweepPeriod = milliseconds(250);
 
@@ -233,6 +236,7 @@
             acceptor, [this] { return makeSocket(); }, [this](TcpSocket socket) { take(std::move(socket)); });
     }
     void take(TcpSocket);
+    bool makeRoom();
     Task<void> sweep();
     void endLateSteps();
     Task<void> serve(std::shared_ptr<HttpConnection>);
@@ -243,6 +247,8 @@
     {
         std::lock_guard guard(lock);
         connections.insert(connection);
+        if (draining)
+            connection->closing = true;
     }
 
     void remove(const std::shared_ptr<HttpConnection>& connection)
@@ -270,8 +276,8 @@
     std::set<std::shared_ptr<HttpConnection>> connections;
 };
 
-// Takes connections until the acceptor is closed. A failed accept (no descriptor left, say) must not end it, nor may
-// it be tried again without a pause.
+// Takes connections until the acceptor is closed. A failed accept must not end it, nor may it be tried again without a
+// pause; most often no descriptor is left, and idle connections hold some.
 Task<void> HttpServer::Implementation::accept()
 {
     const auto self = shared_from_this();
@@ -288,6 +294,7 @@
         }
         if (error) {
             handler.noteAcceptance(Acceptance::Failed);
+            makeRoom();
             pause.expires_after(acceptPause);
             co_await pause.async_wait(redirect_error(useAwaitable, error));
         }
@@ -296,7 +303,7 @@
 
 void HttpServer::Implementation::take(TcpSocket socket)
 {
-    if (count() >= limits.connections) {
+    if (count() >= limits.connections && !makeRoom()) {
         handler.noteAcceptance(Acceptance::TurnedAway);
         return;
     }
@@ -305,11 +312,36 @@
     socket.set_option(Tcp::no_delay(true), ignored);
     const auto connection = std::make_shared<HttpConnection>(std::move(socket), limits);
     add(connection);
-    if (draining)
-        connection->closing = true;
     boost::asio::co_spawn(connection->strand, serve(connection), boost::asio::detached);
 }
 
+// Closes the connections that have carried nothing for longest, if there are any. Several at once, since finding them
+// means looking at all. One on which a request comes at that moment stays.
+bool HttpServer::Implementation::makeRoom()
+{
+    using Idle = std::pair<Instant, std::shared_ptr<HttpConnection>>;
+    const auto now = BootClock::now();
+    std::vector<Idle> idle;
+    std::lock_guard guard(lock);
+    for (const auto& connection : connections) {
+        if (const auto since = connection->idleSince(now))
+            idle.emplace_back(*since, connection);
+    }
+    const auto closed = std::min(idle.size(), limits.connections / roomShare + 1);
+    const auto end = idle.begin() + static_cast<std::ptrdiff_t>(closed);
+    std::partial_sort(
+        idle.begin(), end, idle.end(), [](const Idle& left, const Idle& right) { return left.first < right.first; });
+    idle.erase(end, idle.end());
+    for (const auto& [since, connection] : idle) {
+        connections.erase(connection);
+        boost::asio::post(connection->strand, [self = shared_from_this(), connection = connection] {
+            if (!connection->giveWay())
+                self->add(connection);
+        });
+    }
+    return closed > 0;
+}
+
 Task<void> HttpServer::Implementation::serve(std::shared_ptr<HttpConnection> connection)
 {
     const auto self = shared_from_this();
@@ -390,7 +422,9 @@
     parser->header_limit(limits.headBytes);
     parser->body_limit(boost::none);
     connection->limit(limits.headTimeout);
+    connection->beginHead();
     const auto error = co_await readHeader(connection->socket, connection->buffer, *parser);
+    connection->endHead();
     connection->unlimit();
     const auto fault
         = error ? reasonOf(connection->expired() ? ErrorCode(beast::error::timeout) : error) : framingFault(*parser);
