A test that fails: a node that accepts nobody says that it is ready

Four callers wait for answers at a node that allows four connections; others are turned away for as long as they try, and /ready answers 200.

--- /dev/null
+++ b/tests/FullNodeTests.cpp
@@ -0,0 +1,56 @@
+// libraries: testfleet
+#include "Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace Vanillaridge;
+
+namespace {
+
+// A node that allows four connections of callers; all of them wait for answers.
+struct FullNode {
+    FullNode()
+    {
+        fleet.add({ "a", "ledger", {}, connections, "connections = " + std::to_string(connections) });
+        BOOST_REQUIRE(fleet.start(testManifest({ "ledger" })));
+        BOOST_REQUIRE(warm(node(), "ledger"));
+        for (uint32_t i = 0; i < connections; ++i)
+            answers.push_back(
+                std::async(std::launch::async, [call = writeCall("ledger", "slow?milliseconds=3000"), this] {
+                    return callHttp(node().callers(), call);
+                }));
+        BOOST_REQUIRE(eventually([&] { return node().metric("vanillaridge_running_entries") == connections; }));
+    }
+
+    FleetNode& node() { return fleet.node(0); }
+
+    static constexpr uint32_t connections = 4;
+    Fleet fleet;
+    std::vector<std::future<HttpAnswer>> answers;
+};
+
+} // namespace
+
+// Guards against a node that says that it is ready and takes no connection.
+BOOST_FIXTURE_TEST_SUITE(GivenANodeWhoseConnectionsAllWaitForAnswers, FullNode)
+
+BOOST_AUTO_TEST_SUITE(WhenFurtherCallersKeepComing)
+
+BOOST_AUTO_TEST_CASE(ThenItIsNotReadyUntilThereIsRoom)
+{
+    BOOST_TEST(eventually([&] {
+        callHttp(node().callers(), readCall("ledger"));
+        return !node().ready();
+    }));
+    for (auto& answer : answers)
+        BOOST_TEST(answer.get().status == 200u);
+    BOOST_TEST(eventually([&] { return node().ready(); }));
+    BOOST_TEST(callHttp(node().callers(), readCall("ledger")).status == 200u);
+    BOOST_TEST(node().metric("vanillaridge_connections_turned_away_total") > 0);
+    BOOST_TEST(node().hasLogged("callers-not-accepted"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -50,9 +50,9 @@
         fmt::format("[addresses]\npeers = \"{}\"\ncallers = \"{}\"\nservers = \"{}\"\noperators = \"{}\"\n"
                     "[node]\nzone = \"{}\"\ncontacts = [{}]\nthreads = 2\n"
                     "[secret]\ntext = \"{}\"\n[store]\naddress = \"{}\"\n"
-                    "calls-per-second = 20\ncall-burst = 200\n[limits]\ndrain-limit = \"10s\"\n",
+                    "calls-per-second = 20\ncall-burst = 200\n[limits]\ndrain-limit = \"10s\"\n{}\n",
             m_peers, m_callers, m_servers, m_operators, m_options.zone, m_fleet.contact(), sharedSecret,
-            m_fleet.store()));
+            m_fleet.store(), m_options.limits));
     m_process = std::make_unique<Process>(
         VANILLARIDGE_PROGRAM, std::vector<std::string> { "node", "--settings", m_settings.string() }, m_log);
 }
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -103,6 +103,8 @@
     // Further arguments of the backend server's stand-in.
     std::vector<std::string> serverArguments;
     uint32_t slots = 16;
+    // Further lines of the node's [limits].
+    std::string limits {};
 };
 
 class Fleet;
