Tell callers' platforms when a node accepts no connection

A node that turned away every caller answered 200 to /ready for as long as that went on, so it was sent more of them (RECOVER: ready, and takes no new connection).

/ready has the obstacle "no connections accepted" once connections have been refused for a second and none was accepted. The next one that is accepted ends it, and so do 3 s without a refusal: a fleet that is flooded must not stay out of use.

--- a/src/node/Report.cpp
+++ b/src/node/Report.cpp
@@ -232,6 +232,8 @@
         return "no configuration";
     if (!parts.control.freshness.mayServeKeyed())
         return "configuration not confirmed";
+    if (parts.control.intake.isBlocked())
+        return "no connections accepted";
     return {};
 }
 
--- a/tests/FullNodeTests.cpp
+++ b/tests/FullNodeTests.cpp
@@ -12,12 +12,12 @@
 struct FullNode {
     FullNode()
     {
-        fleet.add({ "a", "ledger", {}, connections, "connections = " + std::to_string(connections) });
+        fleet.add({ "a", "ledger", {}, 16, "connections = " + std::to_string(connections) });
         BOOST_REQUIRE(fleet.start(testManifest({ "ledger" })));
         BOOST_REQUIRE(warm(node(), "ledger"));
         for (uint32_t i = 0; i < connections; ++i)
             answers.push_back(
-                std::async(std::launch::async, [call = writeCall("ledger", "slow?milliseconds=3000"), this] {
+                std::async(std::launch::async, [call = writeCall("ledger", "slow?milliseconds=2000"), this] {
                     return callHttp(node().callers(), call);
                 }));
         BOOST_REQUIRE(eventually([&] { return node().metric("vanillaridge_running_entries") == connections; }));
@@ -43,8 +43,10 @@
         callHttp(node().callers(), readCall("ledger"));
         return !node().ready();
     }));
-    for (auto& answer : answers)
-        BOOST_TEST(answer.get().status == 200u);
+    for (auto& answer : answers) {
+        const auto told = answer.get();
+        BOOST_TEST(told.status == 200u, "status " << told.status << ", " << told.reason());
+    }
     BOOST_TEST(eventually([&] { return node().ready(); }));
     BOOST_TEST(callHttp(node().callers(), readCall("ledger")).status == 200u);
     BOOST_TEST(node().metric("vanillaridge_connections_turned_away_total") > 0);
