A test that fails: a member that takes an empty configuration from a peer

A peer that holds a number between the member's own and the one asked for answers with that number and no sections, and the member puts an empty configuration in force under it.

The model of a disseminating fleet now also compares what each member goes by with what was applied under that number; its schedules of tenths of a second do not meet the fault.

--- a/tests/DisseminationTests.cpp
+++ b/tests/DisseminationTests.cpp
@@ -330,6 +330,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against an empty configuration, under which every route is unknown.
+BOOST_AUTO_TEST_SUITE(WhenTheFirstPeerHoldsANumberBetween)
+
+BOOST_AUTO_TEST_CASE(ThenItAsksAnother)
+{
+    const auto between = apply("north south");
+    const auto newest = apply("north west");
+    const Endpoint peerAt = "10.9.9.1:7000";
+    Board peerBoard({ peerAt, "zone-0", { 77 }, { 1 } });
+    Dissemination peer(peerBoard, fleet.clock, *random, objects, codec, {});
+    BOOST_TEST(peer.adopt(between, "north south").empty());
+
+    const Endpoint memberAt = "10.9.9.9:7000";
+    Board board({ memberAt, "zone-0", { 78 }, { 1 } });
+    board.configuration().updateFreshness([&](FreshnessRecord& record) {
+        record.newestNumber = newest;
+        record.newestFrom = peerAt;
+    });
+    FakeStore noStore;
+    noStore.down = true;
+    Dissemination member(board, fleet.clock, *random, noStore, codec, {});
+    BOOST_TEST(member.adopt(first, "north south east").empty());
+    for (int i = 0; i < 20; ++i) {
+        fleet.clock.advance(milliseconds(100));
+        member.tick();
+        noStore.deliver();
+        for (const auto& sent : board.outbox().drain())
+            if (const auto* request = std::get_if<SectionListRequest>(&sent.message))
+                peer.receive(memberAt, *request);
+        for (const auto& sent : peerBoard.outbox().drain())
+            if (const auto* list = std::get_if<SectionList>(&sent.message))
+                member.receive(peerAt, *list);
+    }
+    BOOST_TEST(board.configuration().inForce()->number() == first);
+    BOOST_TEST(board.configuration().inForce()->declarations().accounts.size() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenMembersStartAgainAfterAChange)
 
 // A key that the change withdrew must not work anywhere again.
@@ -429,6 +468,7 @@
         lastGood = std::max(lastGood, story.apply("last"));
         RC_ASSERT(story.within(2 * minute, [&] { return story.everywhere(lastGood); }));
         RC_ASSERT(!story.reverted);
+        RC_ASSERT(!story.altered);
     }));
 }
 
--- a/tests/DisseminationWorld.h
+++ b/tests/DisseminationWorld.h
@@ -5,6 +5,7 @@
 #include "FakeStore.h"
 #include "dissemination/Dissemination.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 namespace Vanillaridge {
@@ -113,6 +114,7 @@
             auto& before = highest[member.board.self().endpoint];
             reverted = reverted || number < before;
             before = std::max(before, number);
+            altered = altered || !isAsApplied(member);
         };
         fleet.other = [this](const Endpoint& from, FakeMember& to, const ControlMessage& message) {
             std::visit(
@@ -136,7 +138,24 @@
     uint64_t apply(const std::string& text)
     {
         put(defaultManifestObject, text);
-        return objects.stored(defaultManifestObject)->version;
+        const auto stored = *objects.stored(defaultManifestObject);
+        applied[stored.version] = stored.value;
+        return stored.version;
+    }
+
+    // Whether the member's configuration is the one that was applied under its number.
+    bool isAsApplied(FakeMember& member)
+    {
+        const auto inForce = member.board.configuration().inForce();
+        if (!inForce || !applied.contains(inForce->number()))
+            return true;
+        auto expected = codec.check(applied.at(inForce->number()));
+        auto held = inForce->declarations();
+        const auto byName
+            = [](const ClientAccount& left, const ClientAccount& right) { return left.name < right.name; };
+        std::sort(expected.declarations->accounts.begin(), expected.declarations->accounts.end(), byName);
+        std::sort(held.accounts.begin(), held.accounts.end(), byName);
+        return held == *expected.declarations;
     }
 
     void put(std::string_view name, const std::string& text)
@@ -191,6 +210,9 @@
     std::map<Endpoint, std::unique_ptr<Dissemination>> disseminations;
     std::map<Endpoint, uint64_t> highest;
     bool reverted = false;
+    // What was applied under each number, and whether a member went by something else.
+    std::map<uint64_t, std::string> applied;
+    bool altered = false;
 };
 
 // A story in which 24 members in four zones have agreed on a first configuration.
