Take no list from a peer that holds less than what was asked for

Cause: a peer that is asked for a number which it does not hold yet answers with its own number and an empty list. Where that number lay between the asker's and the one asked for, the asker took the list for a whole one: no sections hash to 0, as the answer says, so the check of the content passed. It put an empty configuration in force until the next change.

DisseminationTests, ThenItAsksAnother: number 2 with no account before, number 1 with its three accounts now.

The peer is now given up as one that is behind. What the users call a change that came back older, or routes that were not served, can have the same cause: a node without routes serves none.

--- a/src/dissemination/Fetching.cpp
+++ b/src/dissemination/Fetching.cpp
@@ -83,7 +83,8 @@
 {
     if (!fetching || from != fetching->peer)
         return;
-    if (list.number <= heldNumber()) {
+    // A peer that holds less than what was asked for tells its number only.
+    if (list.number < fetching->number || list.number <= heldNumber()) {
         giveUpPeer("behind", now, effects);
         return;
     }
