Share out a node's descriptors before callers use them up

4,000 callers, as many connections of backend servers, pages, connections to other nodes, to backend servers and to the store do not fit into the 4,100 descriptors that the platform gives a node. With 300 descriptors, 600 idle connections made new ones time out, and /ready with them.

--- a/src/board/Counters.cpp
+++ b/src/board/Counters.cpp
@@ -34,6 +34,8 @@
         { Counter::ControlBytesSent, "control_bytes_sent", "bytes of datagrams sent to other nodes" },
         { Counter::ControlBytesReceived, "control_bytes_received", "bytes of datagrams received from other nodes" },
         { Counter::ConnectionsAccepted, "connections_accepted", "connections of callers accepted" },
+        { Counter::ConnectionsDisplaced, "connections_displaced",
+            "connections of callers accepted in place of idle ones" },
         { Counter::ConnectionsTurnedAway, "connections_turned_away",
             "connections of callers closed at once, since as many as are allowed were in use" },
         { Counter::AcceptsFailed, "accepts_failed", "connections of callers that could not be accepted" },
--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -32,6 +32,7 @@
     ControlBytesReceived,
     // Callers' connections.
     ConnectionsAccepted,
+    ConnectionsDisplaced,
     ConnectionsTurnedAway,
     AcceptsFailed,
     // Quota.
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -123,12 +123,14 @@
 /// What became of a connection that somebody tried to open.
 enum class Acceptance : uint8_t {
     Accepted,
+    /// Accepted, and idle ones closed to make room for it.
+    Displaced,
     /// Closed at once: as many as are allowed are in use.
     TurnedAway,
     /// Could not be accepted, for want of descriptors for instance.
     Failed,
 };
-constexpr size_t acceptanceCount = 3;
+constexpr size_t acceptanceCount = 4;
 
 /// What a server does with requests. One object serves many exchanges at once.
 class HttpHandler {
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -303,11 +303,12 @@
 
 void HttpServer::Implementation::take(TcpSocket socket)
 {
-    if (count() >= limits.connections && !makeRoom()) {
+    const bool isFull = count() >= limits.connections;
+    if (isFull && !makeRoom()) {
         handler.noteAcceptance(Acceptance::TurnedAway);
         return;
     }
-    handler.noteAcceptance(Acceptance::Accepted);
+    handler.noteAcceptance(isFull ? Acceptance::Displaced : Acceptance::Accepted);
     ErrorCode ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     const auto connection = std::make_shared<HttpConnection>(std::move(socket), limits);
--- a/src/intake/Intake.cpp
+++ b/src/intake/Intake.cpp
@@ -16,6 +16,12 @@
     m_board.intake().update([&](IntakeRecord& record) { record.acceptedAt = now; });
 }
 
+void Intake::noteDisplaced()
+{
+    m_board.counters().add(Counter::ConnectionsDisplaced);
+    noteAccepted();
+}
+
 void Intake::noteTurnedAway()
 {
     m_board.counters().add(Counter::ConnectionsTurnedAway);
--- a/src/intake/Intake.h
+++ b/src/intake/Intake.h
@@ -18,6 +18,8 @@
     Intake(Board&, const Clock&, IntakeSettings = {});
 
     void noteAccepted();
+    /// A connection was accepted after idle ones had been closed to make room.
+    void noteDisplaced();
     /// A connection was closed at once, since as many as are allowed are in use.
     void noteTurnedAway();
     /// Accepting failed, for want of descriptors for instance.
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -20,8 +20,8 @@
 
 void CallerHandler::noteAcceptance(Acceptance acceptance)
 {
-    constexpr std::array<void (Intake::*)(), acceptanceCount> notes { &Intake::noteAccepted, &Intake::noteTurnedAway,
-        &Intake::noteFailed };
+    constexpr std::array<void (Intake::*)(), acceptanceCount> notes { &Intake::noteAccepted, &Intake::noteDisplaced,
+        &Intake::noteTurnedAway, &Intake::noteFailed };
     (m_intake.*notes[static_cast<size_t>(acceptance)])();
 }
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "drain/Drain.h"
 #include "log/Log.h"
+#include "node/Descriptors.h"
 #include "node/Duties.h"
 #include "node/GuardFlow.h"
 #include "node/Handlers.h"
@@ -24,14 +25,14 @@
 
     constexpr Duration drainLookPeriod = milliseconds(20);
 
-    HttpLimits httpLimits(const LimitSettings& settings)
+    HttpLimits httpLimits(const LimitSettings& settings, size_t connections)
     {
         HttpLimits limits;
         limits.headBytes = static_cast<uint32_t>(settings.headSize);
         limits.headTimeout = settings.headTimeout;
         limits.pieceTimeout = settings.bodyTimeout;
         limits.idleTimeout = settings.idleTimeout;
-        limits.connections = settings.connections;
+        limits.connections = connections;
         return limits;
     }
 
@@ -84,6 +85,7 @@
         ServerHandler m_serverHandler;
         OperatorHandler m_operatorHandler;
         ReadinessHandler m_readinessHandler;
+        const DescriptorShares m_shares;
         HttpServer m_callers;
         HttpServer m_servers;
         HttpServer m_operators;
@@ -115,10 +117,11 @@
         , m_serverHandler(m_parts, m_entryFlow)
         , m_operatorHandler(m_parts)
         , m_readinessHandler(m_parts)
-        , m_callers(m_context, httpLimits(settings.limits), m_callerHandler)
-        , m_servers(m_context, httpLimits(settings.limits), m_serverHandler)
-        , m_operators(m_context, httpLimits(settings.limits), m_operatorHandler)
-        , m_readiness(m_context, httpLimits(settings.limits), m_readinessHandler)
+        , m_shares(shareDescriptors(availableDescriptors(settings.limits.descriptors), settings.limits.connections))
+        , m_callers(m_context, httpLimits(settings.limits, m_shares.callers), m_callerHandler)
+        , m_servers(m_context, httpLimits(settings.limits, m_shares.servers), m_serverHandler)
+        , m_operators(m_context, httpLimits(settings.limits, m_shares.pages), m_operatorHandler)
+        , m_readiness(m_context, httpLimits(settings.limits, m_shares.pages), m_readinessHandler)
         , m_duties(m_parts)
         , m_drain(m_board, m_clock, settings.limits.drainLimit)
         , m_signals(m_context, SIGTERM, SIGINT)
@@ -173,7 +176,8 @@
         boost::asio::co_spawn(boost::asio::make_strand(m_context), awaitReloads(), boost::asio::detached);
         log(LogLevel::Info, "node-started",
             { { "peers", m_settings.addresses.peers }, { "callers", m_settings.addresses.callers },
-                { "zone", m_settings.zone } });
+                { "zone", m_settings.zone }, { "caller-connections", m_shares.callers },
+                { "server-connections", m_shares.servers } });
         std::vector<std::thread> threads;
         for (uint32_t i = 1; i < m_settings.threads; ++i)
             threads.emplace_back([this] { m_context.run(); });
--- a/src/settings/Fields.cpp
+++ b/src/settings/Fields.cpp
@@ -62,11 +62,12 @@
         { "call-burst", &StoreSettings::callBurst, { 1, 1000 }, "call-burst = 20" },
     } };
 
-    const std::array<Field<LimitSettings>, 7> limitTable { {
+    const std::array<Field<LimitSettings>, 8> limitTable { {
         { "head-size", &LimitSettings::headSize, { oneKibibyte, oneMebibyte }, "head-size = \"16KiB\"" },
         { "stream-memory", &LimitSettings::streamMemory, { 16 * oneKibibyte, 64 * oneMebibyte },
             "stream-memory = \"256KiB\"" },
         { "connections", &LimitSettings::connections, { 1, 100'000 }, "connections = 4000" },
+        { "descriptors", &LimitSettings::descriptors, { 0, 1'048'576 }, "descriptors = 0" },
         { "head-timeout", &LimitSettings::headTimeout, { 0.1, 600 }, "head-timeout = \"10s\"" },
         { "body-timeout", &LimitSettings::bodyTimeout, { 0.1, 600 }, "body-timeout = \"10s\"" },
         { "idle-timeout", &LimitSettings::idleTimeout, { 0.1, 3600 }, "idle-timeout = \"60s\"" },
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -63,8 +63,11 @@
     uint64_t headSize { 16 << 10 };
     /// Body bytes buffered for one stream in each direction.
     uint64_t streamMemory { 256 << 10 };
-    /// Connections open at once from callers and backend servers.
+    /// Connections open at once from callers, and as many from backend servers; fewer where the descriptors do not
+    /// allow for them.
     uint32_t connections { 4000 };
+    /// Descriptors that the process may use; 0 for its own limit.
+    uint32_t descriptors { 0 };
     /// Time for a caller to send a whole head.
     Duration headTimeout { seconds(10) };
     /// Time for a caller to send or take the next piece of a body.
--- a/tests/AcceptanceTests.cpp
+++ b/tests/AcceptanceTests.cpp
@@ -67,7 +67,7 @@
 public:
     Task<void> serve(std::shared_ptr<HttpExchange>) override { co_return; }
     SimpleReply rejection(Reason) override { return {}; }
-    void noteAcceptance(Acceptance acceptance) override { accepted += acceptance == Acceptance::Accepted; }
+    void noteAcceptance(Acceptance acceptance) override { accepted += acceptance == Acceptance::Accepted ? 1 : 0; }
 
     size_t accepted = 0;
 };
