Go on accepting when one connection fails

An exception while a connection was taken up ended the coroutine that accepts, without a word, and with it all new connections for the life of the process. It now counts as a failed accept, which is tried again after a pause. No exception has been seen there; only a shortage of memory would bring one.

AcceptanceTests, ThenItAcceptsTheNext, whose handler throws over the first connection: the second got no answer in 20 s before, and gets one now.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -230,11 +230,7 @@
 
     Task<void> accept();
     TcpSocket makeSocket() { return TcpSocket(boost::asio::make_strand(context)); }
-    ErrorCode takeWaiting()
-    {
-        return acceptWaiting(
-            acceptor, [this] { return makeSocket(); }, [this](TcpSocket socket) { take(std::move(socket)); });
-    }
+    ErrorCode takeAll(TcpSocket first);
     void take(TcpSocket);
     bool makeRoom();
     Task<void> sweep();
@@ -288,16 +284,26 @@
         co_await acceptor.async_accept(socket, redirect_error(useAwaitable, error));
         if (error == boost::asio::error::operation_aborted)
             co_return;
-        if (!error) {
-            take(std::move(socket));
-            error = takeWaiting();
-        }
-        if (error) {
-            handler.noteAcceptance(Acceptance::Failed);
-            makeRoom();
-            pause.expires_after(acceptPause);
-            co_await pause.async_wait(redirect_error(useAwaitable, error));
-        }
+        if (!error)
+            error = takeAll(std::move(socket));
+        if (!error)
+            continue;
+        handler.noteAcceptance(Acceptance::Failed);
+        makeRoom();
+        pause.expires_after(acceptPause);
+        co_await pause.async_wait(redirect_error(useAwaitable, error));
+    }
+}
+
+// Takes a connection and those that wait behind it. Nothing that goes wrong with one of them may end the accepting.
+ErrorCode HttpServer::Implementation::takeAll(TcpSocket first)
+{
+    try {
+        take(std::move(first));
+        return acceptWaiting(
+            acceptor, [this] { return makeSocket(); }, [this](TcpSocket socket) { take(std::move(socket)); });
+    } catch (const std::exception&) {
+        return make_error_code(boost::system::errc::not_enough_memory);
     }
 }
 
--- a/tests/AcceptanceTests.cpp
+++ b/tests/AcceptanceTests.cpp
@@ -72,6 +72,22 @@
     size_t accepted = 0;
 };
 
+// Fails over the first connection that it is told of, and answers as Echo does.
+class FailingOnce final : public HttpHandler {
+public:
+    Task<void> serve(std::shared_ptr<HttpExchange> exchange) override { return m_echo.serve(std::move(exchange)); }
+    SimpleReply rejection(Reason reason) override { return m_echo.rejection(reason); }
+    void noteAcceptance(Acceptance acceptance) override
+    {
+        if (acceptance == Acceptance::Accepted && !std::exchange(m_hasFailed, true))
+            throw std::runtime_error("no memory for a connection");
+    }
+
+private:
+    Echo m_echo;
+    bool m_hasFailed = false;
+};
+
 // An event loop in which other work is always waiting.
 class BusyLoop {
 public:
@@ -158,3 +174,19 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a server that stops accepting without a word.
+BOOST_AUTO_TEST_SUITE(GivenAServerThatFailsOverAConnection)
+
+BOOST_AUTO_TEST_CASE(ThenItAcceptsTheNext)
+{
+    const BasicServed<FailingOnce> served;
+    Caller first(served);
+    BOOST_TEST(first.readUntil("nothing more").empty());
+    Caller second(served);
+    second.write("GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(second.awaitReply(waitLimit));
+    BOOST_TEST(second.readUntil("/second").ends_with("/second"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/HttpServed.h
+++ b/tests/HttpServed.h
@@ -54,15 +54,15 @@
 };
 
 // A server on a thread of its own.
-struct Served {
-    explicit Served(HttpLimits limits = {})
-        : server(context, limits, echo)
+template <typename Handler> struct BasicServed {
+    explicit BasicServed(HttpLimits limits = {})
+        : server(context, limits, handler)
     {
         BOOST_REQUIRE(!server.listen("127.0.0.1:0"));
         thread = std::jthread([this] { context.run(); });
     }
 
-    ~Served() { context.stop(); }
+    ~BasicServed() { context.stop(); }
 
     Tcp::endpoint address() const
     {
@@ -71,16 +71,31 @@
             static_cast<uint16_t>(std::stoul(text.substr(text.rfind(':') + 1))) };
     }
 
-    Echo echo;
+    Handler handler;
     boost::asio::io_context context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
     HttpServer server;
     std::jthread thread;
 };
 
+using Served = BasicServed<Echo>;
+
 // A caller that writes bytes as given, and reads until a text has come.
 struct Caller {
-    explicit Caller(const Served& served) { socket.connect(served.address()); }
+    template <typename Handler> explicit Caller(const BasicServed<Handler>& served)
+    {
+        socket.connect(served.address());
+    }
+
+    // Whether something comes, be it the end of the connection.
+    bool awaitReply(Duration limit)
+    {
+        bool hasCome = false;
+        socket.async_wait(Tcp::socket::wait_read, [&](const boost::system::error_code& error) { hasCome = !error; });
+        context.restart();
+        context.run_for(limit);
+        return hasCome;
+    }
 
     void write(std::string_view text) { boost::asio::write(socket, boost::asio::buffer(text)); }
 
--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -161,7 +161,7 @@
 BOOST_AUTO_TEST_CASE(ThenTheExchangeIsTold)
 {
     Served served;
-    auto left = served.echo.callerLeft.get_future();
+    auto left = served.handler.callerLeft.get_future();
     {
         Caller caller(served);
         caller.write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
