Do not pause after an accept that failed for one connection only

accept() also reports errors that were pending on the connection it was to return. Each cost a pause of 50 ms, in which nobody was accepted: callers that give up their connection while it waits would delay the others, who then give up theirs. Only what concerns the node itself, such as a lack of descriptors, still makes it pause; the same for connections between nodes.

The test is over the table of errors.

--- a/src/address/Address.cpp
+++ b/src/address/Address.cpp
@@ -1,5 +1,7 @@
 #include "address/Address.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace Vanillaridge {
@@ -21,4 +23,13 @@
     return boost::asio::ip::tcp::endpoint(address, port);
 }
 
+bool concernsOneConnection(const boost::system::error_code& error)
+{
+    using boost::system::errc::errc_t;
+    constexpr std::array<errc_t, 10> errors { errc_t::connection_aborted, errc_t::connection_reset, errc_t::interrupted,
+        errc_t::network_down, errc_t::network_unreachable, errc_t::host_unreachable, errc_t::protocol_error,
+        errc_t::no_protocol_option, errc_t::operation_not_supported, errc_t::timed_out };
+    return std::any_of(errors.begin(), errors.end(), [&](errc_t one) { return error == one; });
+}
+
 } // namespace Vanillaridge
--- a/src/address/Address.h
+++ b/src/address/Address.h
@@ -28,6 +28,10 @@
     return error;
 }
 
+/// Whether an accept failed for the sake of the one connection that was to be accepted, so that the next may be
+/// accepted at once: accept(2) also reports network errors that were already pending on it.
+bool concernsOneConnection(const boost::system::error_code&);
+
 /// Connections accepted before other work gets its turn.
 constexpr int acceptsPerRound = 64;
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -286,7 +286,7 @@
             co_return;
         if (!error)
             error = takeAll(std::move(socket));
-        if (!error)
+        if (!error || concernsOneConnection(error))
             continue;
         handler.noteAcceptance(Acceptance::Failed);
         makeRoom();
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -171,7 +171,7 @@
             take(std::move(socket));
             error = takeWaiting();
         }
-        if (error) {
+        if (error && !concernsOneConnection(error)) {
             pause.expires_after(acceptPause);
             co_await pause.async_wait(redirect_error(useAwaitable, error));
         }
--- a/tests/AcceptanceTests.cpp
+++ b/tests/AcceptanceTests.cpp
@@ -1,5 +1,6 @@
 // libraries: http
 #include "HttpServed.h"
+#include "address/Address.h"
 
 #include <boost/asio/post.hpp>
 #include <list>
@@ -190,3 +191,20 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivenAFailedAccept)
+
+BOOST_AUTO_TEST_CASE(ThenOnlyWhatConcernsTheServerMakesItPause)
+{
+    using boost::system::errc::errc_t;
+    constexpr std::array<errc_t, 4> ofTheConnection { errc_t::connection_aborted, errc_t::protocol_error,
+        errc_t::host_unreachable, errc_t::interrupted };
+    constexpr std::array<errc_t, 4> ofTheServer { errc_t::too_many_files_open, errc_t::too_many_files_open_in_system,
+        errc_t::no_buffer_space, errc_t::not_enough_memory };
+    for (const auto error : ofTheConnection)
+        BOOST_TEST(concernsOneConnection(make_error_code(error)));
+    for (const auto error : ofTheServer)
+        BOOST_TEST(!concernsOneConnection(make_error_code(error)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
