Make a new connection where the fleet knows a new process

A connection is replaced once members tell of another boot at its endpoint than they did when it was made; what they told before can be older than the connection. Requests that wait on the old one still do.

PeerTests, ThenTheNextMessageTakesAnotherConnection: no second connection in 10 s before, one now.

--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -75,8 +75,9 @@
 {
 }
 
-Connection::Connection(std::shared_ptr<PeerContext> peers)
+Connection::Connection(std::shared_ptr<PeerContext> peers, std::optional<BootId> known)
     : m_peers(std::move(peers))
+    , m_knownBoot(known)
     , m_strand(boost::asio::make_strand(m_peers->context))
     , m_socket(m_strand)
     , m_watchTimer(m_strand)
@@ -312,6 +313,12 @@
         && peer().boot != other.peer().boot;
 }
 
+// What members tell can be older than the connection, so only what they have told since it was made counts.
+bool Connection::isOutlivedBy(std::optional<BootId> known) const
+{
+    return known && known != m_knownBoot && isOpen() && peer().boot != *known;
+}
+
 // --- Reading --------------------------------------------------------------------------------------------------------
 
 // Reads until so many bytes are there. What is there moves to the front only when the rest would not fit behind it.
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -36,8 +36,9 @@
 public:
     /// One that another node made.
     Connection(std::shared_ptr<PeerContext>, PeerSocket);
-    /// One to be made by connect().
-    explicit Connection(std::shared_ptr<PeerContext>);
+    /// One to be made by startConnecting().
+    /// \param known the boot that members tell of at the endpoint, if any
+    explicit Connection(std::shared_ptr<PeerContext>, std::optional<BootId> known = {});
 
     /// Connects and shakes hands, then reads until the connection ends.
     void startConnecting(Endpoint);
@@ -64,6 +65,8 @@
     /// Whether this connection leads to an earlier process at the other's endpoint, or to a machine that had the
     /// endpoint before.
     bool isOutlivedBy(const Connection& other) const;
+    /// The same, judged by the boot that members tell of at the endpoint now.
+    bool isOutlivedBy(std::optional<BootId> known) const;
 
 private:
     enum class State : uint8_t {
@@ -109,6 +112,7 @@
     void ping(Instant now);
 
     const std::shared_ptr<PeerContext> m_peers;
+    const std::optional<BootId> m_knownBoot;
     Strand m_strand;
     PeerSocket m_socket;
     boost::asio::steady_timer m_watchTimer;
--- a/src/peer/Peer.cpp
+++ b/src/peer/Peer.cpp
@@ -59,6 +59,7 @@
     void sendDatagram(const OutgoingMessage&);
     Task<void> sendControl(OutgoingMessage);
     template <typename Use> void forEachConnection(Use&&);
+    std::optional<BootId> knownBoot(const Endpoint&);
     std::shared_ptr<Connection> connectionTo(const Endpoint&);
     void dropOutlived(const Connection&);
     void startServing(const MessageStreamPointer&);
@@ -278,13 +279,23 @@
 
 // --- Connections ----------------------------------------------------------------------------------------------------
 
-// The connection to a node, which is made if there is none or it was lost.
+// The boot of the process at the endpoint, as members tell of it.
+std::optional<BootId> PeerTransport::Implementation::knownBoot(const Endpoint& endpoint)
+{
+    std::optional<BootId> boot;
+    peers->board.members().visit(NodeId::of(endpoint), [&](const MemberRecord& record) { boot = record.said.boot; });
+    return boot;
+}
+
+// The connection to a node, which is made if there is none or it was lost. One to an earlier process there is left to
+// the requests that wait on it.
 std::shared_ptr<Connection> PeerTransport::Implementation::connectionTo(const Endpoint& endpoint)
 {
+    const auto known = knownBoot(endpoint);
     std::shared_ptr<Connection> made;
     const auto connection = outgoing.update(endpoint, [&](std::shared_ptr<Connection>& present) {
-        if (!present || present->refusesStreams())
-            present = made = std::make_shared<Connection>(peers);
+        if (!present || present->refusesStreams() || present->isOutlivedBy(known))
+            present = made = std::make_shared<Connection>(peers, known);
         return present;
     });
     if (made)
--- a/tests/PeerTests.cpp
+++ b/tests/PeerTests.cpp
@@ -205,6 +205,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against requests that go out on a connection to an earlier process, and wait until it counts as silent.
+BOOST_AUTO_TEST_SUITE(WhenTheFleetTellsOfAnotherProcessThere)
+
+BOOST_AUTO_TEST_CASE(ThenTheNextMessageTakesAnotherConnection)
+{
+    BOOST_REQUIRE(machine.awaitConnections(1, waitLimit));
+    node.board.members().update(NodeId::of(machine.endpoint()), [&](MemberRecord& record) {
+        record.said.endpoint = machine.endpoint();
+        record.said.boot = { 3 };
+    });
+    node.send(machine.endpoint(), SectionListRequest { 2, 0 });
+    BOOST_TEST(machine.awaitConnections(2, replyLimit));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against control messages that go out on a silent connection for as long as no request waits on it.
 BOOST_AUTO_TEST_SUITE(WhenTheConnectionGoesSilentForGood)
 
