Log the configuration that knew no route

The line of a request that was refused with no-route said configuration=0, so that a 404 under an empty configuration looked like one for a path that no configuration has. EntryTests, ThenARefusalForWantOfARouteNamesTheConfiguration.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -177,8 +177,11 @@
 
     // 2. The route and the account. A key is only accepted while the configuration that lists it is fresh.
     const auto* route = configuration->route(request.host, request.method, request.path);
-    if (!route)
-        return self.refuse(Reason::NoRoute);
+    if (!route) {
+        auto decision = self.refuse(Reason::NoRoute);
+        decision.configuration = configuration;
+        return decision;
+    }
     if (!route->open && !self.freshness.mayServeKeyed())
         return self.refuse(Reason::StaleConfiguration, configurationRetryAfter);
     EntryDecision decision;
--- a/tests/EntryTests.cpp
+++ b/tests/EntryTests.cpp
@@ -119,6 +119,14 @@
     BOOST_TEST((decide("other.example", "/registry/1").reason == Reason::NoRoute));
 }
 
+// The log line of a 404 has to tell which configuration knew no route.
+BOOST_AUTO_TEST_CASE(ThenARefusalForWantOfARouteNamesTheConfiguration)
+{
+    const auto decision = decide("other.example", "/registry/1");
+    BOOST_REQUIRE(decision.configuration);
+    BOOST_TEST(decision.configuration == board.configuration().inForce());
+}
+
 BOOST_AUTO_TEST_CASE(ThenAnAccountsImportanceOverridesTheRoutes)
 {
     BOOST_TEST((decide("reports.example", "/reports/1", northKey).context.rank.account == Importance::Critical));
