Remember a farewell that does not say which life it ends

Cause: the farewell came without born, to a process that had just started and did not know the instance. Only farewells with a life were noted, so a heartbeat that was over 2 s late was taken for that of a new server. The log shows both: announced with sequence 20 at 27.449 s, withdrawn with life 0 at 27.890 s, after an acknowledgement at 25.289 s.

Such a farewell ends the life that the instance has told. Where none is known, its news are not believed for 10 s unless they are the first of a life.

FreshnessTests, ThenAFarewellWithoutALifeCountsToo and ThenAFarewellWithoutALifeEndsTheOneThatIsKnown, failed before and pass now. Calls to the store: one write for each farewell without a life more.

--- a/src/announcement/Announcement.cpp
+++ b/src/announcement/Announcement.cpp
@@ -4,6 +4,15 @@
 
 namespace Vanillaridge {
 
+namespace {
+
+    // How late news of a backend server may come.
+    constexpr Duration newsLateness = seconds(10);
+    // Of the first news in each life.
+    constexpr uint64_t firstSequence = 1;
+
+} // namespace
+
 struct LocalServers::State {
     State(Board& board, const Clock& clock)
         : board(board)
@@ -47,17 +56,41 @@
         return news.life && left;
     }
 
+    // Whether the news may be from before a departure that did not say which life it ended. The first news of a life
+    // are not: whoever left had said more.
+    bool mayBeLate(const ServerNews& news) const
+    {
+        bool isLate = false;
+        board.departures().visit(stableHash(news.instance), [&](const DepartureRecord& departure) {
+            isLate = !departure.life && clock.now() - departure.notedAt < newsLateness;
+        });
+        return news.life && isLate && news.sequence != firstSequence;
+    }
+
     // Keeps an instance from being taken up again by what it said before it left.
     void noteDeparture(const ServerNews& news)
     {
-        if (!news.life || news.instance.empty())
+        if (news.instance.empty())
             return;
+        const auto life = news.life ? news.life : toldLife(news.instance);
         board.departures().update(stableHash(news.instance), [&](DepartureRecord& departure) {
-            departure.life = std::max(departure.life, news.life);
+            departure.life = std::max(departure.life, life);
             departure.notedAt = clock.now();
         });
     }
 
+    // The latest life that the instance has told of; 0 for none.
+    uint64_t toldLife(std::string_view instance)
+    {
+        std::lock_guard guard(lock);
+        uint64_t life = 0;
+        for (const auto& [service, known] : told) {
+            if (known.instance == instance)
+                life = std::max(life, known.life);
+        }
+        return life;
+    }
+
     // The service of an instance that says it has left, unless another one has come in its place.
     std::optional<ServiceName> noteLeaving(const ServerNews& news)
     {
@@ -157,7 +190,7 @@
         return outcome(drain(news.service));
 
     // 2. What this one says, unless it said before that it leaves.
-    if (!known && m_state->hasLeft(news))
+    if (!known && (m_state->hasLeft(news) || m_state->mayBeLate(news)))
         return NewsOutcome::Outdated;
     announce(news.service, news.endpoint, news.slots, news.term);
     servers.visit(news.service, [&](LocalServerRecord& record) {
@@ -172,7 +205,7 @@
 bool LocalServers::isDeparture(const ServerNews& news)
 {
     const bool leaves = news.kind == ServerNews::Kind::Drain || news.kind == ServerNews::Kind::Withdraw;
-    return leaves && news.life && !news.instance.empty();
+    return leaves && !news.instance.empty();
 }
 
 std::vector<ServiceName> LocalServers::dropDeparted()
--- a/src/announcement/Announcement.h
+++ b/src/announcement/Announcement.h
@@ -64,7 +64,9 @@
     bool withdraw(std::string_view service);
     /// Takes whatever a backend server tells. News that were overtaken by later ones change nothing.
     NewsOutcome take(const ServerNews&);
-    /// Whether the news say that a backend server leaves in a way that outlives this process: with its name and life.
+    /// Whether the news say that a backend server leaves in a way that outlives this process: with its name. Where they
+    /// do not say which life ends, it is the one that was told, or else any that is not in its first news for some
+    /// seconds.
     static bool isDeparture(const ServerNews&);
     /// Drops announcements of lives that board.departures() says have ended, as it does once an earlier process's
     /// departures are known; returns their services.
--- a/tests/FreshnessTests.cpp
+++ b/tests/FreshnessTests.cpp
@@ -302,6 +302,43 @@
     BOOST_TEST(!isInUse());
 }
 
+// Guards against a late heartbeat after a farewell that does not say which life it ends.
+BOOST_FIXTURE_TEST_CASE(ThenAFarewellWithoutALifeCountsToo, Restarted)
+{
+    constexpr uint64_t lateSequence = 20;
+    auto farewell = news(ServerNews::Kind::Withdraw, 0, 0);
+    farewell.service.clear();
+    BOOST_TEST(LocalServers::isDeparture(farewell));
+    servers.take(farewell);
+    restart();
+    for (auto* process : { &servers, &next })
+        BOOST_TEST((process->take(news(ServerNews::Kind::Announce, 100, lateSequence)) == NewsOutcome::Outdated));
+    BOOST_TEST(!isInUse());
+    BOOST_TEST((next.take(news(ServerNews::Kind::Announce, 101, 1)) == NewsOutcome::Changed));
+    BOOST_TEST(next.dropDeparted().empty());
+    BOOST_TEST(isInUse());
+}
+
+BOOST_FIXTURE_TEST_CASE(ThenAFarewellWithoutALifeEndsTheOneThatIsKnown, Restarted)
+{
+    auto farewell = news(ServerNews::Kind::Withdraw, 0, 0);
+    farewell.service.clear();
+    servers.take(news(ServerNews::Kind::Announce, 100, 1));
+    servers.take(farewell);
+    restart();
+    clock.advance(minute);
+    BOOST_TEST((next.take(news(ServerNews::Kind::Announce, 100, 2)) == NewsOutcome::Outdated));
+    BOOST_TEST((next.take(news(ServerNews::Kind::Announce, 101, 2)) == NewsOutcome::Changed));
+}
+
+BOOST_FIXTURE_TEST_CASE(ThenOneThatKeepsSpeakingIsTakenUpInTheEnd, Restarted)
+{
+    servers.take(news(ServerNews::Kind::Withdraw, 0, 0));
+    restart();
+    clock.advance(minute);
+    BOOST_TEST((next.take(news(ServerNews::Kind::Announce, 101, 5)) == NewsOutcome::Changed));
+}
+
 BOOST_FIXTURE_TEST_CASE(ThenItsNextLifeIsTakenUp, Restarted)
 {
     servers.take(news(ServerNews::Kind::Announce, 100, 1));
