--- a/tests/FullNodeTests.cpp
+++ b/tests/FullNodeTests.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// A node that allows two connections of callers, as many as its guard starts at once; both wait for answers.
+// A node that allows two connections of callers; both wait for answers. During its slow start the guard starts three.
 struct FullNode {
     FullNode()
     {
