--- a/src/address/Address.h
+++ b/src/address/Address.h
@@ -28,8 +28,8 @@
     return error;
 }
 
-/// Whether an accept failed for the sake of the one connection that was to be accepted, so that the next may be
-/// accepted at once: accept(2) also reports network errors that were already pending on it.
+/// Whether an error of accept(2) concerns only the connection that it would have returned, such as a network error that
+/// was already pending on it. The next one can be accepted at once.
 bool concernsOneConnection(const boost::system::error_code&);
 
 /// Connections accepted before other work gets its turn.
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -140,7 +140,7 @@
     virtual Task<void> serve(std::shared_ptr<HttpExchange>) = 0;
     /// The reply to something that could not be read as a request.
     virtual SimpleReply rejection(Reason) = 0;
-    /// Told of each connection that is tried; from any thread.
+    /// Called for each connection attempt, from any thread.
     virtual void noteAcceptance(Acceptance) { }
 };
 
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -30,9 +30,9 @@
     /// While the head of a request is being read.
     void beginHead() { wait(Wait::Head); }
     void endHead() { wait(Wait::Nothing); }
-    /// Since when the connection has carried nothing that a new one could not take the place of; nothing while it does.
+    /// Since when the connection has been idle, so that it can give way to a new one; nothing while it is in use.
     std::optional<Instant> idleSince(Instant now) const;
-    /// Closes the connection if it still carries nothing; whether it did.
+    /// Closes the connection if it is still idle; whether it was.
     bool giveWay();
 
     /// Reads on while a request is served: tells whether the caller leaves, and takes the next request's first bytes.
--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -261,7 +261,7 @@
 void Connection::noteHeard()
 {
     m_heardAt = stampOf(m_peers->clock.now()).count();
-    m_awaitsWord = false;
+    m_needsLivenessCheck = false;
     auto silent = State::Silent;
     if (m_state.compare_exchange_strong(silent, State::Ready))
         m_unansweredPing.reset();
@@ -555,7 +555,7 @@
             becomeLost("idle");
         if (!streamCount() && m_state.load() == State::Silent)
             becomeLost("silent");
-        if (!streamCount() && !m_awaitsWord)
+        if (!streamCount() && !m_needsLivenessCheck)
             continue;
 
         // 2. Requests wait on a silent connection, or control messages may have been lost with it.
@@ -595,7 +595,7 @@
         startWriting = !std::exchange(m_isWriting, true);
     }
     if (std::holds_alternative<ControlMessage>(message))
-        m_awaitsWord = true;
+        m_needsLivenessCheck = true;
     m_peers->board.counters().add(Counter::PeerMessagesSent);
     if (startWriting)
         boost::asio::post(m_strand, [self = shared_from_this()] { self->writeNext(); });
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -127,8 +127,8 @@
     const Instant m_madeAt;
     Instant m_usedAt;
     std::atomic<Duration::rep> m_heardAt { 0 };
-    // Whether a control message has been sent and nothing has been heard since.
-    std::atomic<bool> m_awaitsWord { false };
+    // Whether a control message has been sent and nothing received since.
+    std::atomic<bool> m_needsLivenessCheck { false };
     std::optional<uint64_t> m_unansweredPing;
     Instant m_pingedAt;
     Instant m_watchedAt;
--- a/tests/AcceptanceTests.cpp
+++ b/tests/AcceptanceTests.cpp
@@ -17,6 +17,7 @@
     HttpLimits limits;
     limits.connections = allowedConnections;
     limits.headTimeout = std::chrono::hours(1);
+    limits.headGrace = milliseconds(1);
     return limits;
 }
 
