Review 2, case 7: the outage and the kill one after the other

Seen: the departure is not written in the second in which the store is sound again, so that a later kill brings the server back.

--- a/review/stand-ins-2/Case-7.cpp
+++ b/review/stand-ins-2/Case-7.cpp
@@ -1,5 +1,5 @@
-// A server leaves while the store is silent, its node is killed and started again, and one of the server's earlier
-// heartbeats arrives late. Usage: case-7 RECORD STORE-PROGRAM, in the repository's root.
+// A server leaves while the store is silent for a second. Later its node is killed and started again, and one of the
+// server's earlier heartbeats arrives late. Usage: case-7 RECORD STORE-PROGRAM, in the repository's root.
 #include "World.h"
 
 using namespace Review;
@@ -8,9 +8,10 @@
 
 constexpr int64_t drainTime = 2000;
 constexpr int64_t stableWindow = 3000;
-// How late the heartbeat comes, and how long the store is silent.
-constexpr int64_t lateness = 4000;
-constexpr int64_t outage = 3000;
+// How late the heartbeat comes, how long the store is silent, and how long it is sound before the node is killed.
+constexpr int64_t lateness = 3500;
+constexpr int64_t outage = 1000;
+constexpr int64_t soundBeforeKill = 1000;
 // For how long the server goes on serving after its leaving was acknowledged.
 constexpr int64_t servesOn = 12000;
 
@@ -74,14 +75,14 @@
     }
 
     // 3. The store falls silent. A heartbeat is sent and held up on its way; then the server leaves.
+    const auto silentFrom = record.now();
     if (!isCalm())
         world.setStore("hang");
-    sleepFor(200);
     leaving.stopBeating();
     const auto heldUp = leaving.beatText(leaving.nextSequence(), "ready");
     const auto sentAt = record.now();
     record.line("server i-leaving sends a heartbeat, which is held up");
-    sleepFor(200);
+    sleepFor(100);
     const int left = leaving.deregister();
     record.line("its deregister is answered with " + std::to_string(left));
     if (left != 200) {
@@ -90,8 +91,11 @@
     }
     acknowledgedAt = record.now();
 
-    // 4. The node is killed and started again, and the store is sound again.
-    sleepFor(300);
+    // 4. The store is sound again. A second later the node is killed, and started again.
+    sleepFor(std::max<int64_t>(0, silentFrom + outage - record.now()));
+    if (!isCalm())
+        world.setStore("no");
+    sleepFor(soundBeforeKill);
     if (!isCalm()) {
         record.line("SIGKILL to the node of machine 1");
         first.process->signal(SIGKILL);
@@ -99,9 +103,6 @@
         sleepFor(500);
         first.start();
     }
-    sleepFor(std::max<int64_t>(0, sentAt - 200 + outage - record.now()));
-    if (!isCalm())
-        world.setStore("no");
     inTouchFrom = record.now() + stableWindow;
     sleepFor(std::max<int64_t>(0, sentAt + lateness - record.now()));
     record.line("the heartbeat arrives, " + std::to_string(record.now() - sentAt) + " ms late, and is answered with "
