Take descriptors, memory, grace and contracts from environment variables of the role

Fields beyond the template now come as environment variables; one that is absent or empty changes nothing.

--- a/src/app/NodeCommand.cpp
+++ b/src/app/NodeCommand.cpp
@@ -61,17 +61,29 @@
 
         ExitCode run() override
         {
-            const auto settings = loadSettings(m_settings);
+            const auto settings = load();
             if (!settings) {
                 printProblems(settings.problems());
                 return ExitCode::Problems;
             }
             constexpr std::array<ExitCode, 3> codes { ExitCode::Done, ExitCode::DrainLimitReached, ExitCode::Failed };
-            return codes[static_cast<size_t>(runNode(
-                settings.value(), integrationNamed(m_integration), [this] { return loadSettings(m_settings); }))];
+            return codes[static_cast<size_t>(
+                runNode(settings.value(), integrationNamed(m_integration), [this] { return load(); }))];
         }
 
     private:
+        SettingsResult load() const
+        {
+            auto loaded = loadSettings(m_settings);
+            const auto apply = integrationNamed(m_integration).applySurroundings;
+            if (!loaded || !apply)
+                return loaded;
+            auto settings = loaded.value();
+            if (auto problems = apply(settings); !problems.empty())
+                return problems;
+            return settings;
+        }
+
         std::string m_settings;
         std::string m_integration = "own";
     };
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -18,6 +18,9 @@
     /// Opens the store that the settings name. What it refers to outlives it.
     std::unique_ptr<ObjectStore> (*openStore)(
         boost::asio::io_context&, const StoreSettings&, const Clock&, RandomSource&, Counters&);
+    /// Applies what the surroundings say outside the settings file; returns what is wrong with it. Null where they say
+    /// nothing.
+    std::vector<Problem> (*applySurroundings)(Settings&) { nullptr };
 };
 
 /// The product's own dialect and manifests, with a local manifest file in place of a store.
--- a/src/settings/Fields.cpp
+++ b/src/settings/Fields.cpp
@@ -11,6 +11,7 @@
     constexpr double secondsPerDay = 86400;
     constexpr double oneKibibyte = 1 << 10;
     constexpr double oneMebibyte = 1 << 20;
+    constexpr double oneTebibyte = 1099511627776.0;
 
     constexpr std::array<std::string_view, 4> levelNames { "error", "warning", "info", "debug" };
 
@@ -33,12 +34,13 @@
         { "readiness", &AddressSettings::readiness, { 1, longestText }, "readiness = \"10.0.0.5:8083\"" },
     } };
 
-    const std::array<Field<Settings>, 6> nodeTable { {
+    const std::array<Field<Settings>, 7> nodeTable { {
         { "zone", &Settings::zone, { 1, 64 }, "zone = \"a\"", true },
         { "service", &Settings::service, { 0, 64 }, "service = \"reports\"" },
         { "announcement-period", &Settings::announcementPeriod, { 0.05, 600 }, "announcement-period = \"1500ms\"" },
         { "contacts", &Settings::contacts, { 0, mostContacts }, "contacts = [\"10.0.0.6:7000\"]" },
         { "threads", &Settings::threads, { 1, 64 }, "threads = 2" },
+        { "zone-evacuation", &Settings::zoneEvacuation, {}, "zone-evacuation = false" },
         { "log-level",
             ConvertedText<Settings> { readLevel, writeLevel, "\"error\", \"warning\", \"info\" or \"debug\"" },
             { 1, longestText }, "log-level = \"info\"" },
@@ -62,16 +64,18 @@
         { "call-burst", &StoreSettings::callBurst, { 1, 1000 }, "call-burst = 20" },
     } };
 
-    const std::array<Field<LimitSettings>, 8> limitTable { {
+    const std::array<Field<LimitSettings>, 10> limitTable { {
         { "head-size", &LimitSettings::headSize, { oneKibibyte, oneMebibyte }, "head-size = \"16KiB\"" },
         { "stream-memory", &LimitSettings::streamMemory, { 16 * oneKibibyte, 64 * oneMebibyte },
             "stream-memory = \"256KiB\"" },
         { "connections", &LimitSettings::connections, { 1, 100'000 }, "connections = 4000" },
         { "descriptors", &LimitSettings::descriptors, { 0, 1'048'576 }, "descriptors = 0" },
+        { "memory", &LimitSettings::memory, { 0, oneTebibyte }, "memory = \"160MiB\"" },
         { "head-timeout", &LimitSettings::headTimeout, { 0.1, 600 }, "head-timeout = \"10s\"" },
         { "body-timeout", &LimitSettings::bodyTimeout, { 0.1, 600 }, "body-timeout = \"10s\"" },
         { "idle-timeout", &LimitSettings::idleTimeout, { 0.1, 3600 }, "idle-timeout = \"60s\"" },
         { "drain-limit", &LimitSettings::drainLimit, { 0, 3600 }, "drain-limit = \"60s\"" },
+        { "stop-grace", &LimitSettings::stopGrace, { 0, 3600 }, "stop-grace = \"6s\"" },
     } };
 
     const std::array<Field<QuotaSettings>, 4> quotaTable { {
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -57,7 +57,7 @@
     double callBurst { 100 };
 };
 
-/// Bounds on what callers can make a node hold.
+/// Bounds on what callers can make a node hold, and on how long a stop may take.
 struct LimitSettings {
     /// Request line and headers, in bytes.
     uint64_t headSize { 16 << 10 };
@@ -68,6 +68,8 @@
     uint32_t connections { 4000 };
     /// Descriptors that the process may use; 0 for its own limit.
     uint32_t descriptors { 0 };
+    /// Bytes of memory that the instance gives the process; 0 for the process's own limit.
+    uint64_t memory { 0 };
     /// Time for a caller to send a whole head.
     Duration headTimeout { seconds(10) };
     /// Time for a caller to send or take the next piece of a body.
@@ -76,6 +78,8 @@
     Duration idleTimeout { seconds(60) };
     /// Longest time that a planned stop waits for running requests.
     Duration drainLimit { seconds(60) };
+    /// Time after SIGTERM at which the process is killed; 0 when nothing kills it.
+    Duration stopGrace { 0 };
 };
 
 /// Everything that one node is told when it starts.
@@ -91,6 +95,8 @@
     /// Authenticates nodes to each other. Never to be logged.
     Secret secret;
     uint32_t threads { 2 };
+    /// Whether availability zones may be evacuated by an object in the store.
+    bool zoneEvacuation { false };
     LogLevel logLevel { LogLevel::Info };
     LogLimits logLimits;
     StoreSettings store;
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -1,6 +1,7 @@
 // libraries: platform
 #include "platform/OperatorConfiguration.h"
 #include "platform/PlatformDialect.h"
+#include "platform/PlatformEnvironment.h"
 
 #include <array>
 #include <boost/json.hpp>
@@ -405,3 +406,56 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a node that does not start, or runs without bounds, where the platform leaves a field out.
+BOOST_AUTO_TEST_SUITE(GivenTheEnvironmentOfARole)
+
+BOOST_AUTO_TEST_CASE(ThenItsVariablesBecomeSettings)
+{
+    Settings settings;
+    const auto problems = applyEnvironment(settings, [](std::string_view name) -> std::string {
+        if (name == "VANILLARIDGE_DESCRIPTORS")
+            return "4100";
+        if (name == "VANILLARIDGE_MEMORY_MB")
+            return "160";
+        return name == "VANILLARIDGE_BOUNDS" ? "ack-ms=5000,grace-s=6,strict-revoke=false" : "base,places,quota";
+    });
+    BOOST_TEST(problems.empty());
+    BOOST_TEST(settings.limits.descriptors == 4100u);
+    BOOST_TEST(settings.limits.memory == 160'000'000u);
+    BOOST_TEST((settings.limits.stopGrace == seconds(6)));
+    BOOST_TEST(settings.zoneEvacuation);
+}
+
+BOOST_AUTO_TEST_SUITE(WhenVariablesAreAbsentOrEmpty)
+
+BOOST_AUTO_TEST_CASE(ThenTheSettingsStayAsTheyWere)
+{
+    Settings settings;
+    settings.limits.descriptors = 77;
+    const auto problems = applyEnvironment(settings, [](std::string_view) { return std::string(); });
+    BOOST_TEST(problems.empty());
+    BOOST_TEST(settings.limits.descriptors == 77u);
+    BOOST_TEST(settings.limits.memory == 0u);
+    BOOST_TEST((settings.limits.stopGrace == Duration(0)));
+    BOOST_TEST(!settings.zoneEvacuation);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenVariablesCannotBeRead)
+
+BOOST_AUTO_TEST_CASE(ThenEachIsAProblem)
+{
+    Settings settings;
+    const auto problems = applyEnvironment(settings, [](std::string_view name) -> std::string {
+        if (name == "VANILLARIDGE_BOUNDS")
+            return "grace-s=soon";
+        return name == "VANILLARIDGE_CONTRACTS" ? "" : "-1";
+    });
+    BOOST_TEST(problems.size() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
