--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -26,6 +26,7 @@
     // The exit code, or 128 and the signal that ended it; nothing if it still runs after the limit.
     std::optional<int> awaitEnd(std::chrono::milliseconds limit);
     bool running();
+    pid_t id() const { return m_pid; }
     // The most memory that it has used, in bytes; 0 once it has ended.
     size_t peakMemory() const;
 
