Read responses strictly: statuses, interim responses and the end of the connection

Cause: a status below 200 was taken for an interim response, so that the body of a response with status 000, or of an interim one that announces a body, was read as the response; 600 and above were passed on. Linux reports a reset once: where the write of an upload met it first, the read behind it saw an orderly end, and a response without a length looked whole. The client of the store took an interim response for the final one.

One classification in framing serves the pool of backend connections and the client of the store; an entry checks the head that a guard of another version passes on.

--- a/src/framing/Framing.cpp
+++ b/src/framing/Framing.cpp
@@ -46,6 +46,37 @@
         && isChunked(framing.codings.front());
 }
 
+ResponseKind responseKind(unsigned status)
+{
+    constexpr unsigned firstInterim = 100;
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned firstFinal = 200;
+    constexpr unsigned firstUnknown = 600;
+    if (status < firstInterim || status == switchingProtocols || status >= firstUnknown)
+        return ResponseKind::Malformed;
+    return status < firstFinal ? ResponseKind::Interim : ResponseKind::Final;
+}
+
+bool isFieldName(std::string_view name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const auto isTokenCharacter = [&](unsigned char character) {
+        return (character < 0x80 && std::isalnum(character)) || marks.find(char(character)) != std::string_view::npos;
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
+}
+
+bool isFieldValue(std::string_view value)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return std::none_of(value.begin(), value.end(), [&](unsigned char character) {
+        return (character < firstPrintable && character != '\t') || character == deleteCharacter;
+    });
+}
+
+bool isOrderly(const ConnectionEnd& end) { return !end.writeFailed && end.isHalfOpen; }
+
 bool isMalformedChunkHeader(std::string_view bytes)
 {
     if (bytes.starts_with(lineEnd))
--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -83,6 +83,14 @@
     {
     }
 
+    // Whether the end of the connection is that of a whole answer.
+    bool hasOrderlyEnd() const
+    {
+        ErrorCode error;
+        socket.remote_endpoint(error);
+        return isOrderly({ writeFailed, !error });
+    }
+
     // A connection goes back to the pool after a whole request and a whole answer, and at no other time.
     ~Implementation()
     {
@@ -99,6 +107,7 @@
     std::optional<RequestSerializer> serializer;
     std::unique_ptr<Response> parser;
     bool requestWritten { false };
+    bool writeFailed { false };
     bool aborted { false };
     /// Bytes of the present answer's body that are still read.
     uint64_t bodyLeft { noLimit };
@@ -126,6 +135,7 @@
     ErrorCode error;
     co_await http::async_write_header(self.socket, *self.serializer, redirect_error(useAwaitable, error));
     self.requestWritten = !error && !head.hasBody;
+    self.writeFailed = static_cast<bool>(error);
     co_return !error;
 }
 
@@ -139,6 +149,7 @@
     co_await http::async_write(self.socket, *self.serializer, redirect_error(useAwaitable, error));
     const bool written = !error || error == http::error::need_buffer;
     self.requestWritten = written && last;
+    self.writeFailed = !written;
     co_return written;
 }
 
@@ -166,11 +177,12 @@
         if (error)
             co_return std::nullopt;
         const auto& message = self.parser->get();
-        if (!hasUnambiguousFraming(message)) {
+        const auto kind = responseKindOf(message);
+        if (kind == ResponseKind::Malformed) {
             abort();
             co_return std::nullopt;
         }
-        if (message.result_int() < 200)
+        if (kind == ResponseKind::Interim)
             continue;
 
         // 2. Translated.
@@ -201,6 +213,9 @@
     // Whatever is wrong with an answer, its caller gets no more of it.
     if (piece.end == BodyEnd::Malformed)
         piece.end = BodyEnd::Cut;
+    const bool endedWithConnection = piece.end == BodyEnd::Last && self.parser->need_eof();
+    if (endedWithConnection && !self.hasOrderlyEnd())
+        piece.end = BodyEnd::Cut;
     if (piece.bytes.size() > self.bodyLeft)
         co_return BodyPiece { {}, BodyEnd::Cut };
     self.bodyLeft -= piece.bytes.size();
--- a/src/httpcall/HttpCall.cpp
+++ b/src/httpcall/HttpCall.cpp
@@ -31,7 +31,7 @@
             , m_timeout(timeout)
             , m_done(std::move(done))
         {
-            m_parser.body_limit(answerLimit);
+            expectAnswer();
         }
 
         // 1. Connection. Until it stands, nothing has been sent.
@@ -73,18 +73,44 @@
             });
         }
 
-        // 3. Answer.
+        void expectAnswer()
+        {
+            m_parser.emplace();
+            m_parser->body_limit(answerLimit);
+        }
+
+        // 3. Head of the answer. The time limit also ends a server that sends interim answers without end.
         void receive()
         {
-            Http::async_read(m_stream, m_buffer, m_parser, [self = shared_from_this()](error_code error, size_t) {
-                const bool isWhole = !error && hasUnambiguousFraming(self->m_parser.get());
-                isWhole ? self->succeed() : self->fail(HttpCallError::NoAnswer);
+            Http::async_read_header(
+                m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, size_t) {
+                    error ? self->fail(HttpCallError::NoAnswer) : self->takeHead(responseKindOf(self->m_parser->get()));
+                });
+        }
+
+        void takeHead(ResponseKind kind)
+        {
+            if (kind == ResponseKind::Malformed) {
+                fail(HttpCallError::NoAnswer);
+            } else if (kind == ResponseKind::Interim) {
+                expectAnswer();
+                receive();
+            } else {
+                receiveBody();
+            }
+        }
+
+        // 4. Body.
+        void receiveBody()
+        {
+            Http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, size_t) {
+                error ? self->fail(HttpCallError::NoAnswer) : self->succeed();
             });
         }
 
         void succeed()
         {
-            auto& message = m_parser.get();
+            auto& message = m_parser->get();
             finish({ HttpAnswer { message.result_int(), std::move(message.body()) } });
         }
 
@@ -103,7 +129,7 @@
         HttpCallback m_done;
         Http::request<Http::string_body> m_request;
         Beast::flat_buffer m_buffer;
-        Http::response_parser<Http::string_body> m_parser;
+        std::optional<Http::response_parser<Http::string_body>> m_parser;
     };
 
 } // namespace
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -1,7 +1,9 @@
 #include "node/EntryRequest.h"
 
+#include "framing/Framing.h"
 #include "log/Log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -14,6 +16,15 @@
 
     constexpr uint16_t noStatus = 0;
 
+    // Whether the head can be written to a caller as a response. A guard checks what its backend server sends; one of
+    // another version may check less.
+    bool isWellFormed(const AnswerHead& head)
+    {
+        return responseKind(head.status) == ResponseKind::Final
+            && std::all_of(head.headers.begin(), head.headers.end(),
+                [](const HeaderField& field) { return isFieldName(field.name) && isFieldValue(field.value); });
+    }
+
     // The host that a request names, in lower case and without its port.
     std::string hostOf(const RequestHead& head)
     {
@@ -384,6 +395,8 @@
             co_return co_await endWithoutAnswer(
                 attempt, m_timedOut ? AttemptEnd::TimedOut : AttemptEnd::ConnectionLost);
         if (auto* head = std::get_if<AnswerHead>(&*message)) {
+            if (!isWellFormed(*head))
+                co_return co_await endWithoutAnswer(attempt, AttemptEnd::ConnectionLost);
             if (m_parts.control.entryLedger.takeAnswer(attempt.id, *head))
                 co_return co_await passAnswer(attempt, std::move(*head));
         } else if (const auto* refusal = std::get_if<Refusal>(&*message)) {
