Keep what a stop and a leaving server were promised

A stop waited 5 s for requests whatever the grace that the platform gives, and took calls that it then cut. It now waits until half a second before the end of the grace, hands backend servers no deadline beyond that, and refuses calls that would outlast it: those of a route that took longer here of late, or that is not known. Without a grace nothing kills the process, and it waits for the drain limit.

A departure that was acknowledged while the store was away was forgotten once its waiter had been answered; it is owed until the store has it. A failed call about the entry is repeated after 50 ms while somebody waits, after about a second otherwise; before, none was made for 0.5 s. That is one read and one write a departure, as without an outage, and one call a second and node while the store fails.

Also: a signed overflow in the evidence of an account that is not blocked, and a SIGHUP in the first milliseconds.

DirectoryTests fails in three cases on the code before, DrainTests does not compile against it (the grace is new).

--- a/bench/MembershipBench.cpp
+++ b/bench/MembershipBench.cpp
@@ -208,7 +208,7 @@
 void measureNews(World& world)
 {
     const auto drained = world.count - 1;
-    world.fleet.at(drained).board.startDraining();
+    world.fleet.at(drained).board.startDraining(world.fleet.clock.now() + seconds(60));
     const auto knowsDrain = [&](FakeMember& member) {
         bool known = false;
         member.board.members().visit(idOf(drained), [&](const MemberRecord& record) {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 #include "app/Commands.h"
 
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <fmt/core.h>
 
 using namespace Vanillaridge;
@@ -19,6 +20,9 @@
 
 int main(int argumentCount, char** arguments)
 {
+    // A hang-up that comes before the node handles it would end the process; the settings are read after this.
+    std::signal(SIGHUP, SIG_IGN);
+
     // 1. One subcommand for each row.
     CLI::App app { "Overload control for service call graphs", "vanillaridge" };
     app.set_version_flag("--version", "vanillaridge " VANILLARIDGE_VERSION);
--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -72,6 +72,7 @@
     Outbox outbox;
     Counters counters;
     std::atomic<bool> draining { false };
+    std::atomic<Duration::rep> drainEnd { 0 };
     std::atomic<bool> refusesNewWork { false };
     std::atomic<Duration::rep> lag { 0 };
 };
@@ -116,7 +117,20 @@
 
 bool Board::draining() const { return m_facts->draining.load(std::memory_order_relaxed); }
 
-void Board::startDraining() { m_facts->draining.store(true, std::memory_order_relaxed); }
+void Board::startDraining(Instant end)
+{
+    m_facts->drainEnd = end.time_since_epoch().count();
+    m_facts->draining = true;
+}
+
+std::optional<Duration> Board::timeBeforeStop(Instant now) const
+{
+    // An answer that the backend server gives at its deadline has to reach the caller before the stop ends.
+    constexpr Duration answerTime = milliseconds(200);
+    if (!m_facts->draining)
+        return std::nullopt;
+    return Instant(Duration(m_facts->drainEnd)) - answerTime - now;
+}
 
 // In one order with the tables: what was put there before the store is seen after it, and what comes later is refused.
 bool Board::refusesNewWork() const { return m_facts->refusesNewWork; }
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -112,7 +112,11 @@
 
     /// Whether this node is leaving: its backend servers are announced as draining, and it gives up its duties.
     bool draining() const;
-    void startDraining();
+    /// \param end when running requests are cut off at the latest
+    void startDraining(Instant end);
+    /// Time that requests still have here: until a stop that is under way cuts them off, less what a last answer needs.
+    /// Nothing while this node is not leaving.
+    std::optional<Duration> timeBeforeStop(Instant now) const;
     /// Whether it has been leaving for long enough that others know: it takes no new attempts, and no requests but the
     /// calls of those that run beside it.
     bool refusesNewWork() const;
--- a/src/dissemination/Directory.cpp
+++ b/src/dissemination/Directory.cpp
@@ -15,6 +15,11 @@
     constexpr size_t endpointLimit = 64;
     // Entries removed in one review, so that a lost zone does not use up the calls that a node may make.
     constexpr size_t removalsPerReview = 20;
+    // Pause after a failed call about this node's own entry: short while a backend server waits for the answer, longer
+    // while departures that were acknowledged without being stored are all that is left to write.
+    constexpr Duration retryPauseWhileAwaited = milliseconds(50);
+    constexpr Duration retryPause = seconds(1);
+    constexpr double retryPauseJitter = 0.5;
 
     // An endpoint in the characters that object names are made of.
     std::string objectName(const Endpoint& endpoint)
@@ -211,8 +216,12 @@
         objects.get(
             objectName(board.self().endpoint), [weak = weak_from_this()](const StoreResult<StoredObject>& result) {
                 const auto self = weak.lock();
-                if (!self || (!result && result.error() != StoreError::NotFound))
+                if (!self)
+                    return;
+                if (!result && result.error() != StoreError::NotFound) {
+                    self->noteFailure();
                     return;
+                }
                 if (result)
                     readDepartures(result.value().value, self->board, self->clock.now());
                 {
@@ -226,6 +235,14 @@
             });
     }
 
+    // A call about this node's own entry failed.
+    void noteFailure()
+    {
+        std::lock_guard guard(lock);
+        const auto pause = waiting.empty() ? random.jittered(retryPause, retryPauseJitter) : retryPauseWhileAwaited;
+        ownEntryCall = clock.now() + pause;
+    }
+
     // Writes the departures that the store does not have yet. A write that failed or lost a race is read back.
     void storeDepartures()
     {
@@ -251,6 +268,8 @@
                     if (result)
                         self->storedEntry = text;
                 }
+                if (!result && result.error() != StoreError::Conflict)
+                    self->noteFailure();
                 self->settleWaiting();
             });
     }
@@ -264,6 +283,7 @@
             const auto now = clock.now();
             std::lock_guard guard(lock);
             const bool stored = storedEntry == text;
+            departuresOwed = departuresOwed && !stored;
             std::erase_if(waiting, [&](auto& entry) {
                 const bool holds = entry.isForRecall ? recalled.load() : stored;
                 if (!holds && now < entry.deadline)
@@ -281,6 +301,7 @@
     {
         {
             std::lock_guard guard(lock);
+            departuresOwed = departuresOwed || !isForRecall;
             waiting.push_back({ isForRecall, clock.now() + settings.rememberLimit, std::move(done) });
         }
         settleWaiting();
@@ -295,7 +316,7 @@
         {
             std::lock_guard guard(lock);
             knowsEntry = ownVersion.has_value();
-            isBehind = std::ranges::any_of(waiting, [](const auto& entry) { return !entry.isForRecall; });
+            isBehind = departuresOwed;
         }
         if (!knowsEntry && (isBehind || !recalled))
             readOwnEntry();
@@ -322,11 +343,14 @@
 
     std::mutex lock;
     std::vector<Waiting> waiting;
+    // Whether a departure was acknowledged that the store may not have yet. It outlasts those who wait for the write: a
+    // departure that is acknowledged while the store is away is written once it is back.
+    bool departuresOwed { false };
     // This node's entry as the store last showed it; the version is unknown before the first reading and after a write
     // that failed.
     std::optional<uint64_t> ownVersion;
     std::string storedEntry;
-    // Until when a call about it may be answered; the epoch when there is none.
+    // Until when a call about it may be answered, or none is made after a failure; the epoch when there is none.
     Instant ownEntryCall;
     // Whether this life of the node has written its entry.
     bool entryWritten { false };
--- a/src/drain/Drain.cpp
+++ b/src/drain/Drain.cpp
@@ -1,5 +1,7 @@
 #include "drain/Drain.h"
 
+#include <algorithm>
+
 namespace Vanillaridge {
 
 namespace {
@@ -9,6 +11,22 @@
     constexpr Duration announcementTime = milliseconds(2500);
     // Minimum time for sending the last messages.
     constexpr Duration minimumLeavingTime = milliseconds(300);
+    // Part of the grace that is kept for the end of the process: the last messages, and a late event loop. It is
+    // shorter than the last sixth of a grace of 6 s, up to which running requests must be waited for.
+    constexpr Duration reservedForExit = milliseconds(500);
+
+    // A grace too short for the whole announcement is shared evenly with the requests that run.
+    Duration announcementTimeWithin(Duration grace)
+    {
+        return grace > Duration(0) ? std::min(announcementTime, grace / 2) : announcementTime;
+    }
+
+    Duration limitOf(const StopLimits& limits)
+    {
+        const auto limit = announcementTimeWithin(limits.grace) + limits.drain;
+        return limits.grace > Duration(0) ? std::min(limit, std::max(limits.grace / 2, limits.grace - reservedForExit))
+                                          : limit;
+    }
 
     constexpr std::array<std::string_view, stopStepCount> stepNames { "node-draining", "node-refuses-new-work",
         "node-takes-nothing-new", "node-leaves", "node-ends" };
@@ -17,17 +35,18 @@
 
 std::string_view toText(StopStep step) { return stepNames[static_cast<size_t>(step)]; }
 
-Drain::Drain(Board& board, const Clock& clock, Duration limit)
+Drain::Drain(Board& board, const Clock& clock, StopLimits limits)
     : m_board(board)
     , m_clock(clock)
-    , m_limit(limit)
+    , m_announcementTime(announcementTimeWithin(limits.grace))
+    , m_limit(limitOf(limits))
 {
 }
 
 void Drain::begin()
 {
     m_startedAt = m_stepStartedAt = m_clock.now();
-    m_board.startDraining();
+    m_board.startDraining(m_startedAt + m_limit);
 }
 
 StopStep Drain::advance(const OpenWork& open)
@@ -51,7 +70,7 @@
         m_limitReached = !hasAnsweredAll(open);
 }
 
-bool Drain::isAnnounced(const OpenWork&) const { return m_clock.now() - m_stepStartedAt >= announcementTime; }
+bool Drain::isAnnounced(const OpenWork&) const { return m_clock.now() - m_stepStartedAt >= m_announcementTime; }
 
 // The local backend server may make calls through this node for as long as it runs an attempt.
 bool Drain::hasFinished(const OpenWork&) const { return !m_board.attempts().size() || isPastLimit(); }
@@ -69,6 +88,6 @@
     return !open.connections && !m_board.entries().size() && !m_board.attempts().size();
 }
 
-bool Drain::isPastLimit() const { return m_clock.now() - m_startedAt >= announcementTime + m_limit; }
+bool Drain::isPastLimit() const { return m_clock.now() - m_startedAt >= m_limit; }
 
 } // namespace Vanillaridge
--- a/src/drain/Drain.h
+++ b/src/drain/Drain.h
@@ -33,11 +33,19 @@
     size_t unsent { 0 };
 };
 
+/// How long a stop may take.
+struct StopLimits {
+    /// Maximum wait for running requests after the announcement.
+    Duration drain { 0 };
+    /// Time from the signal after which the process is killed; 0 when nothing kills it. Running requests are waited for
+    /// until shortly before.
+    Duration grace { 0 };
+};
+
 /// Not thread-safe: used by one thread.
 class Drain {
 public:
-    /// \param limit maximum wait for running requests after the announcement
-    Drain(Board&, const Clock&, Duration limit);
+    Drain(Board&, const Clock&, StopLimits);
 
     /// Starts the stop and marks the node as draining on the board.
     void begin();
@@ -58,6 +66,8 @@
 
     Board& m_board;
     const Clock& m_clock;
+    const Duration m_announcementTime;
+    /// From the signal on.
     const Duration m_limit;
     StopStep m_step { StopStep::Announcing };
     Instant m_startedAt;
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -20,6 +20,8 @@
     constexpr double retryTimeoutShare = 0.93;
     // Decay of the longest timeout per request, so that it adapts when callers switch to shorter ones.
     constexpr double longestTimeoutDecay = 0.9998;
+    // Decay of the longest time that a request of a route took, per request.
+    constexpr double longestServedDecay = 0.999;
     // Highest bits of the tree hash. A request with these bits cleared is among the last quarter of its rank to be
     // shed.
     constexpr uint64_t lastQuarterMask = uint64_t(3) << 62;
@@ -77,6 +79,19 @@
         });
     }
 
+    // Whether a request may still run when the stop that is under way cuts it off. A route of which no request has been
+    // served here is taken to need all the time that it is allowed.
+    bool outlastsStop(const Route& route, Duration allowed)
+    {
+        const auto left = board.timeBeforeStop(clock.now());
+        if (!left)
+            return false;
+        Duration needed = allowed;
+        longestServed.visit(
+            route.name, [&](const double& longest) { needed = std::min(needed, fromSeconds(longest)); });
+        return *left < needed;
+    }
+
     // Lets a call without a parent id inherit from its inferred or sampled parent.
     void inheritFromParent(EntryDecision& decision, const IncomingRequest& request)
     {
@@ -127,6 +142,7 @@
     CallTracer tracer;
     /// Longest recent caller timeout per route in nanoseconds, with decay.
     Sharded<RouteName, double> longestTimeouts;
+    Sharded<RouteName, double> longestServed;
     /// Current position of each route with several services in its weighted rotation, from 0 to 1.
     Sharded<RouteName, double> rotations;
     const uint64_t sequenceSecret;
@@ -216,7 +232,8 @@
         context.treeHash &= ~lastQuarterMask;
     if (route->open && !configuration->declarations().accounts.empty())
         self.inheritFromParent(decision, request);
-    if (self.board.refusesNewWork() && !(route->open && self.board.attempts().size()))
+    const bool isCallOfRunning = route->open && self.board.attempts().size();
+    if (self.board.refusesNewWork() && (!isCallOfRunning || self.outlastsStop(*route, context.remaining)))
         decision.reason = Reason::Draining;
     else if (context.depth == 1 && isShedForLag(context, request.readDelay))
         decision.reason = Reason::NodeBusy;
@@ -268,6 +285,9 @@
     if (context.remaining <= Duration(0))
         return self.refuse(Reason::DeadlineExceeded);
 
+    if (self.board.refusesNewWork() && self.outlastsStop(*route, context.remaining))
+        return self.refuse(Reason::Draining);
+
     // 4. The context: rank and tree are inherited, retries are lent from the parent's budget.
     decision.retriesLent = self.retry.lendToChild(parent);
     context.attempt = { self.nextId(), 0 };
@@ -281,6 +301,12 @@
     return decision;
 }
 
+void Entry::recordServed(std::string_view route, Duration took)
+{
+    m_state->longestServed.update(
+        RouteName(route), [&](double& longest) { longest = std::max(longest * longestServedDecay, inSeconds(took)); });
+}
+
 bool targetCarriesKey(std::string_view target, std::string_view key)
 {
     return !key.empty() && target.find(key) != std::string_view::npos;
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -68,6 +68,9 @@
     /// Decides on a call that a local backend server makes for a request it is running. Account and importance
     /// are the parent's, and its deadline and retries are upper bounds: the backend server cannot override them.
     EntryDecision decideCall(const IncomingRequest&, const AttemptId& parent);
+    /// Records how long a request of the route took from its arrival to the end of its answer. While this node stops, a
+    /// call that may outlast the stop is refused.
+    void recordServed(std::string_view route, Duration took);
 
 private:
     struct State;
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -360,7 +360,7 @@
     OpenRequest open;
     open.context = m_decision.context;
     open.context.attempt = attempt.id;
-    open.context.remaining = m_decision.deadline - m_parts.clock.now();
+    open.context.remaining = remainingTime();
     open.context.retriesLeft = attempt.lent;
     open.guard = m_stream->peer().boot;
     const auto& head = m_exchange->head();
@@ -376,6 +376,15 @@
         m_body->startSending(m_stream);
 }
 
+// A backend server gives its own answer at its deadline, so none is later than a stop that is under way here.
+Duration EntryRequest::remainingTime() const
+{
+    const auto now = m_parts.clock.now();
+    const auto remaining = m_decision.deadline - now;
+    const auto beforeStop = m_parts.board.timeBeforeStop(now);
+    return beforeStop ? std::min(remaining, std::max<Duration>(*beforeStop, milliseconds(1))) : remaining;
+}
+
 Task<Decision> EntryRequest::awaitAnswer(Attempt& attempt)
 {
     while (true) {
@@ -569,8 +578,10 @@
 void EntryRequest::close(Outcome outcome, uint16_t status)
 {
     auto& control = m_parts.control;
-    if (outcome == Outcome::Served)
+    if (outcome == Outcome::Served) {
         m_parts.board.counters().add(Counter::RequestsServed);
+        control.entry.recordServed(m_decision.context.route, m_parts.clock.now() - m_receivedAt);
+    }
     if (m_token && outcome == Outcome::NotRun)
         control.quota.giveBack(m_decision.context.account, *m_token);
     if (m_claimed)
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -55,6 +55,7 @@
     Decision takeRefusal(Attempt&, const Refusal&);
     Task<Decision> endWithoutAnswer(Attempt&, AttemptEnd);
     void sendOpen(Attempt&);
+    Duration remainingTime() const;
     void conclude(const Attempt&);
     bool mayRetry(Reason);
     void cancelAttempt(Reason);
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -273,7 +273,12 @@
 RequestHead GuardAttempt::headForBackend() const
 {
     RequestHead head { m_open.method, m_open.target, m_open.headers, m_open.hasBody, m_open.contentLength };
-    m_parts.dialect.addGuardHeaders({ context(), m_deadline - m_parts.clock.now(), m_instance }, head.headers);
+    const auto now = m_parts.clock.now();
+    auto remaining = m_deadline - now;
+    // A backend server gives its own answer at its deadline, so none is later than a stop that is under way here.
+    if (const auto beforeStop = m_parts.board.timeBeforeStop(now))
+        remaining = std::min(remaining, std::max<Duration>(*beforeStop, milliseconds(1)));
+    m_parts.dialect.addGuardHeaders({ context(), remaining, m_instance }, head.headers);
     return head;
 }
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -123,7 +123,7 @@
         , m_operators(m_context, httpLimits(settings.limits, m_shares.pages), m_operatorHandler)
         , m_readiness(m_context, httpLimits(settings.limits, m_shares.pages), m_readinessHandler)
         , m_duties(m_parts)
-        , m_drain(m_board, m_clock, settings.limits.drainLimit)
+        , m_drain(m_board, m_clock, { settings.limits.drainLimit, settings.limits.stopGrace })
         , m_signals(m_context, SIGTERM, SIGINT)
         , m_hangups(m_context, SIGHUP)
         , m_reload(std::move(reload))
--- a/src/quota/Pools.cpp
+++ b/src/quota/Pools.cpp
@@ -327,8 +327,8 @@
 {
     m_board.counters().add(counterOf(cause));
     QuotaDecision decision { QuotaAnswer::Refused, retryAfter(pool, now) };
-    decision.evidence = { cause, pool.tokens(), pool.pulled(), pool.waiters.size(), now - since,
-        std::max(Duration(0), Duration(pool.blockedUntil - now)) };
+    const auto blocked = pool.blockedUntil > now ? Duration(pool.blockedUntil - now) : Duration(0);
+    decision.evidence = { cause, pool.tokens(), pool.pulled(), pool.waiters.size(), now - since, blocked };
     return decision;
 }
 
--- a/tests/DirectoryTests.cpp
+++ b/tests/DirectoryTests.cpp
@@ -167,6 +167,59 @@
     BOOST_TEST(directoryOf(3).hasRecalled());
 }
 
+// Guards against a server that is in use again after a restart, since its departure, acknowledged while the store was
+// away, was never written.
+BOOST_AUTO_TEST_CASE(ThenADepartureDuringAnOutageIsStoredAfterIt)
+{
+    fleet.startAll(8);
+    within(seconds(10), [] { return false; });
+    objects.down = true;
+    BOOST_TEST(!remember(3, "i-1", 100));
+    objects.down = false;
+    within(seconds(2), [] { return false; });
+    fleet.kill(3);
+    fleet.start(3);
+    BOOST_TEST(within(seconds(1), [&] { return directoryOf(3).hasRecalled(); }));
+    BOOST_TEST(departedLife(3, "i-1") == 100u);
+}
+
+// The same where the store is away from the start of the process on, so that its entry has not been read either.
+BOOST_AUTO_TEST_CASE(ThenADepartureDuringAnOutageAtTheStartIsStoredAfterIt)
+{
+    fleet.startAll(8);
+    within(seconds(10), [] { return false; });
+    BOOST_TEST(remember(3, "i-0", 50));
+    objects.down = true;
+    fleet.kill(3);
+    fleet.start(3);
+    within(seconds(4), [] { return false; });
+    BOOST_TEST(!remember(3, "i-1", 100));
+    objects.down = false;
+    within(seconds(2), [] { return false; });
+    fleet.kill(3);
+    fleet.start(3);
+    BOOST_TEST(within(seconds(1), [&] { return directoryOf(3).hasRecalled(); }));
+    BOOST_TEST(departedLife(3, "i-0") == 50u);
+    BOOST_TEST(departedLife(3, "i-1") == 100u);
+}
+
+// Guards against a write that is given up for the whole time of its waiter after one call that failed.
+BOOST_AUTO_TEST_CASE(ThenAStoreThatIsAwayForAMomentIsAskedAgain)
+{
+    fleet.startAll(8);
+    within(seconds(10), [] { return false; });
+    objects.down = true;
+    fleet.at(3).board.departures().update(stableHash("i-1"), [&](DepartureRecord& departure) {
+        departure = { 100, fleet.clock.now() };
+    });
+    std::optional<bool> stored;
+    directoryOf(3).rememberDepartures([&](bool answer) { stored = answer; });
+    within(milliseconds(200), [] { return false; });
+    objects.down = false;
+    BOOST_TEST(within(seconds(1), [&] { return stored.has_value(); }));
+    BOOST_TEST(stored.value_or(false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenAllMembersAreReplaced)
--- a/tests/DrainTests.cpp
+++ b/tests/DrainTests.cpp
@@ -13,7 +13,11 @@
 
 // A node that was asked to stop; tests add requests and attempts to its board.
 struct StoppingNode {
-    StoppingNode() { drain.begin(); }
+    explicit StoppingNode(Duration grace = Duration(0))
+        : drain(board, clock, { grace > Duration(0) ? grace : limit, grace })
+    {
+        drain.begin();
+    }
 
     StopStep nextAfter(Duration time)
     {
@@ -45,7 +49,7 @@
     const AttemptId attempt { { { 1 }, { 1 }, 1 }, 1 };
     ManualClock clock;
     Board board { { "127.0.0.1:7000", "zone-a", { 1 }, { 1 } } };
-    Drain drain { board, clock, limit };
+    Drain drain;
     OpenWork open;
 };
 
@@ -146,3 +150,54 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+constexpr Duration grace = seconds(6);
+
+struct NodeWithGrace : StoppingNode {
+    NodeWithGrace()
+        : StoppingNode(grace)
+    {
+    }
+
+    // When a stop with a request that never ends cuts it off, and when the process ends, from the signal on.
+    Duration timeUntil(StopStep step)
+    {
+        const auto start = clock.now();
+        while (drain.advance(open) < step)
+            clock.advance(checkInterval);
+        return clock.now() - start;
+    }
+};
+
+} // namespace
+
+// Guards against a request that is cut off although the platform leaves time for it, and against a process that is
+// killed before it has ended.
+BOOST_FIXTURE_TEST_SUITE(GivenANodeThatIsKilledAtTheEndOfItsGrace, NodeWithGrace)
+
+BOOST_AUTO_TEST_SUITE(WhenARequestOutlastsTheGrace)
+
+BOOST_AUTO_TEST_CASE(ThenItIsAwaitedIntoTheLastSixthAndTheProcessEndsInTime)
+{
+    addAttempt();
+    addEntry();
+    open.connections = 1;
+    BOOST_TEST((timeUntil(StopStep::Leaving) >= grace - grace / 6));
+    BOOST_TEST((timeUntil(StopStep::Ended) < grace));
+    BOOST_TEST(drain.limitReached());
+}
+
+BOOST_AUTO_TEST_CASE(ThenTheTimeLeftForOthersEndsBeforeIt)
+{
+    const auto atStart = board.timeBeforeStop(clock.now());
+    BOOST_REQUIRE(atStart.has_value());
+    BOOST_TEST((*atStart > limit && *atStart < grace));
+    nextAfter(seconds(3));
+    BOOST_TEST((*board.timeBeforeStop(clock.now()) == *atStart - seconds(3)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/MembershipTests.cpp
+++ b/tests/MembershipTests.cpp
@@ -267,7 +267,7 @@
     fleet.startAll(32);
     announce(fleet.at(4), "ledger");
     fleet.runUntil(minute, [&] { return fleet.agrees(); });
-    fleet.at(4).board.startDraining();
+    fleet.at(4).board.startDraining(fleet.clock.now() + seconds(60));
     const auto known = [&] {
         size_t draining = 0;
         fleet.forEach([&](FakeMember& member) {
--- a/tests/QuotaWorld.h
+++ b/tests/QuotaWorld.h
@@ -250,7 +250,7 @@
     // Plans a clean stop; the run goes on until it is crashed.
     void release(size_t at)
     {
-        nodes[at]->board.startDraining();
+        nodes[at]->board.startDraining(clock.now() + seconds(60));
         nodes[at]->quota->release();
         collect(at);
     }
