--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -1,7 +1,9 @@
 #include "node/EntryRequest.h"
 
+#include "framing/Framing.h"
 #include "log/Log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -14,6 +16,15 @@
 
     constexpr uint16_t noStatus = 0;
 
+    // Whether the head can be written to a caller as a response. A guard checks what its backend server sends; one of
+    // another version may check less.
+    bool isWellFormed(const AnswerHead& head)
+    {
+        return responseKind(head.status) == ResponseKind::Final
+            && std::all_of(head.headers.begin(), head.headers.end(),
+                [](const HeaderField& field) { return isFieldName(field.name) && isFieldValue(field.value); });
+    }
+
     // The host that a request names, in lower case and without its port.
     std::string hostOf(const RequestHead& head)
     {
@@ -360,7 +371,7 @@
     OpenRequest open;
     open.context = m_decision.context;
     open.context.attempt = attempt.id;
-    open.context.remaining = m_decision.deadline - m_parts.clock.now();
+    open.context.remaining = remainingTime();
     open.context.retriesLeft = attempt.lent;
     open.guard = m_stream->peer().boot;
     const auto& head = m_exchange->head();
@@ -376,6 +387,15 @@
         m_body->startSending(m_stream);
 }
 
+// A backend server gives its own answer at its deadline, so none is later than a stop that is under way here.
+Duration EntryRequest::remainingTime() const
+{
+    const auto now = m_parts.clock.now();
+    const auto remaining = m_decision.deadline - now;
+    const auto beforeStop = m_parts.board.timeBeforeStop(now);
+    return beforeStop ? std::min(remaining, std::max<Duration>(*beforeStop, milliseconds(1))) : remaining;
+}
+
 Task<Decision> EntryRequest::awaitAnswer(Attempt& attempt)
 {
     while (true) {
@@ -384,6 +404,8 @@
             co_return co_await endWithoutAnswer(
                 attempt, m_timedOut ? AttemptEnd::TimedOut : AttemptEnd::ConnectionLost);
         if (auto* head = std::get_if<AnswerHead>(&*message)) {
+            if (!isWellFormed(*head))
+                co_return co_await endWithoutAnswer(attempt, AttemptEnd::ConnectionLost);
             if (m_parts.control.entryLedger.takeAnswer(attempt.id, *head))
                 co_return co_await passAnswer(attempt, std::move(*head));
         } else if (const auto* refusal = std::get_if<Refusal>(&*message)) {
@@ -569,8 +591,10 @@
 void EntryRequest::close(Outcome outcome, uint16_t status)
 {
     auto& control = m_parts.control;
-    if (outcome == Outcome::Served)
+    if (outcome == Outcome::Served) {
         m_parts.board.counters().add(Counter::RequestsServed);
+        control.entry.recordServed(m_decision.context.route, m_parts.clock.now() - m_receivedAt);
+    }
     if (m_token && outcome == Outcome::NotRun)
         control.quota.giveBack(m_decision.context.account, *m_token);
     if (m_claimed)
