Bound the heads and bodies that a node holds for its clients

Cause: nothing bounded the total. Each connection kept 16 KiB to read ahead into and as much to drop what came after a refusal; a piece of a body kept 16 KiB for one byte of a chunk, and credit counted 1 KiB for it; kept bodies and unread answers came on top, and the allocator gave nothing back.

A budget, a fifth of the instance's memory, is parted among callers, attempts and the backend server's own calls. Bodies count with the window that may be held of them before anything is read; a request that finds no room is refused before it runs. Connections that hold much for long and move little are ended first. Small chunks are joined, and connections that wait for a request or drop what comes keep 2 KiB or nothing.

--- a/src/board/Counters.cpp
+++ b/src/board/Counters.cpp
@@ -39,6 +39,8 @@
         { Counter::ConnectionsTurnedAway, "connections_turned_away",
             "connections of callers closed at once, since as many as are allowed were in use" },
         { Counter::AcceptsFailed, "accepts_failed", "connections of callers that could not be accepted" },
+        { Counter::ConnectionsEndedForBuffers, "connections_ended_for_buffers",
+            "connections ended since they held much and moved little while buffers were short" },
         { Counter::QuotaPulls, "quota_pulls", "requests for tokens sent to other nodes" },
         { Counter::QuotaTokensCreated, "quota_tokens_created", "tokens created by quota slots held here" },
         { Counter::QuotaTokensExpired, "quota_tokens_expired", "tokens that expired unused" },
--- a/src/board/Counters.h
+++ b/src/board/Counters.h
@@ -35,6 +35,7 @@
     ConnectionsDisplaced,
     ConnectionsTurnedAway,
     AcceptsFailed,
+    ConnectionsEndedForBuffers,
     // Quota.
     QuotaPulls,
     QuotaTokensCreated,
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "async/Async.h"
+#include "buffers/Buffers.h"
 #include "messages/Messages.h"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,10 @@
     /// closed.
     size_t connections { 4096 };
     Duration headGrace { seconds(1) };
+    /// Bound on the bytes that the connections hold, and their part of it; null for none. Where it is reached, the
+    /// connections that hold most for what their callers have moved are ended as if their time were over.
+    BufferBudget* budget { nullptr };
+    BufferSide side { BufferSide::Callers };
 };
 
 /// Largest piece of a body handled at once.
@@ -107,6 +112,12 @@
     Task<bool> reply(SimpleReply);
     bool replyStarted() const;
 
+    /// Counts bytes that are kept for this exchange from now on, or less than before; false, and no change, if there is
+    /// no room for them.
+    bool holdBuffers(uint64_t bytes);
+    /// The same for bytes that have to be kept, such as those of an answer.
+    void forceBuffers(uint64_t bytes);
+
     /// Whether the caller's side of the connection has ended, as far as the machine knows by now.
     bool callerGone() const;
     /// Calls back once, on the strand, if the caller's side of the connection ends before the exchange does.
@@ -142,6 +153,8 @@
     virtual SimpleReply rejection(Reason) = 0;
     /// Called for each connection attempt, from any thread.
     virtual void noteAcceptance(Acceptance) { }
+    /// Called when connections were ended to make room for others' bytes, from any thread.
+    virtual void noteBuffersFreed(size_t /*connections*/) { }
 };
 
 /// Why a server could not be started.
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -8,6 +8,11 @@
 
     constexpr Duration lingerLimit = seconds(1);
     constexpr size_t lingerBytes = 256 * 1024;
+    // The buffer of a connection between exchanges.
+    constexpr size_t idleBufferBytes = 4 * 1024;
+    // A connection that holds no more is not worth ending, and one is given some time to move what it holds.
+    constexpr uint64_t smallestBurden = 4 * 1024;
+    constexpr Duration burdenGrace = milliseconds(500);
     constexpr Instant::rep noLimit = std::numeric_limits<Instant::rep>::max();
 
 } // namespace
@@ -17,6 +22,7 @@
     , socket(std::move(socket))
     , buffer(limits.headBytes + bodyPieceBytes)
     , limits(limits)
+    , m_hold(limits.budget, limits.side)
     , m_limit(noLimit)
 {
 }
@@ -25,6 +31,39 @@
 
 void HttpConnection::unlimit() { m_limit = noLimit; }
 
+bool HttpConnection::hold(uint64_t bytes)
+{
+    if (!m_hold.bytes()) {
+        m_heldSince = BootClock::now().time_since_epoch().count();
+        m_moved = 0;
+    }
+    return m_hold.resize(bytes);
+}
+
+void HttpConnection::force(uint64_t bytes)
+{
+    if (!hold(bytes))
+        m_hold.force(bytes);
+}
+
+void HttpConnection::shrink()
+{
+    // A read under way writes into the buffer.
+    if (!m_reading && buffer.capacity() > idleBufferBytes && buffer.size() < idleBufferBytes)
+        buffer.shrink_to_fit();
+    m_hold.resize(0);
+}
+
+std::optional<double> HttpConnection::burden(Instant now) const
+{
+    const auto held = m_hold.bytes();
+    const auto age = now - Instant(Duration(m_heldSince.load()));
+    const bool isWaitedFor = m_limit != noLimit && m_wait != Wait::Request;
+    if (held <= smallestBurden || age < burdenGrace || !isWaitedFor)
+        return std::nullopt;
+    return double(held) * inSeconds(age) / double(m_moved.load(std::memory_order_relaxed) + 1);
+}
+
 void HttpConnection::expire()
 {
     if (!limitPassed(BootClock::now()))
@@ -94,7 +133,7 @@
     const auto ended = std::make_shared<Event>();
     m_readEnded = ended;
     socket.async_read_some(
-        buffer.prepare(bodyPieceBytes), [self = shared_from_this(), ended](ErrorCode error, size_t bytes) {
+        buffer.prepare(headPieceBytes), [self = shared_from_this(), ended](ErrorCode error, size_t bytes) {
             self->takeRead(error, bytes);
             ended->set();
         });
@@ -111,16 +150,30 @@
 
 bool HttpConnection::hasCallerGone() { return m_ended || (!buffer.size() && peekAt(socket) == SocketState::Ended); }
 
+// Many connections may linger at once, so none keeps memory for what it drops.
+size_t HttpConnection::dropArrived(ErrorCode& error)
+{
+    std::array<char, bodyPieceBytes> dropped;
+    socket.non_blocking(true, error);
+    const auto count = error ? 0 : socket.read_some(boost::asio::buffer(dropped), error);
+    if (error == boost::asio::error::would_block)
+        error = {};
+    return count;
+}
+
 Task<void> HttpConnection::linger()
 {
     ErrorCode error;
     socket.shutdown(Tcp::socket::shutdown_send, error);
-    std::vector<char> dropped(bodyPieceBytes);
+    shrink();
     limit(lingerLimit);
     while (m_reading)
         co_await readEnded().wait();
-    for (size_t total = 0; !error && !m_ended && total < lingerBytes;)
-        total += co_await socket.async_read_some(boost::asio::buffer(dropped), redirect_error(useAwaitable, error));
+    for (size_t total = 0; !error && !m_ended && total < lingerBytes;) {
+        co_await socket.async_wait(TcpSocket::wait_read, redirect_error(useAwaitable, error));
+        if (!error)
+            total += dropArrived(error);
+    }
     unlimit();
 }
 
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -30,6 +30,18 @@
     /// While the head of a request is being read.
     void beginHead() { wait(Wait::Head); }
     void endHead() { wait(Wait::Nothing); }
+    /// How much it holds for how little its caller has moved while it is waited for, in bytes times seconds; nothing
+    /// while it waits for nothing of its caller, holds next to nothing, or has held it for a short time only.
+    std::optional<double> burden(Instant now) const;
+    /// Bytes that its caller has sent or taken.
+    void noteMoved(size_t bytes) { m_moved.fetch_add(bytes, std::memory_order_relaxed); }
+    /// Counts the bytes kept for the exchange beside the buffer.
+    bool hold(uint64_t bytes);
+    void force(uint64_t bytes);
+    uint64_t heldBytes() const { return m_hold.bytes(); }
+    /// Gives the buffer's memory back where it has grown, once an exchange is over.
+    void shrink();
+
     /// Since when the connection has been idle, so that it can give way to a new one; nothing while it is in use.
     std::optional<Instant> idleSince(Instant now) const;
     /// Closes the connection if it is still idle; whether it was.
@@ -60,10 +72,14 @@
 
     void wait(Wait);
     void takeRead(ErrorCode, size_t bytes);
+    size_t dropArrived(ErrorCode&);
     /// Happens when the read under way ends. The read owns it: held by whoever waits, or by the connection, it would
     /// keep both of them when the event loop is gone.
     Event& readEnded() const { return *m_readEnded.lock(); }
 
+    BufferHold m_hold;
+    std::atomic<Instant::rep> m_heldSince { 0 };
+    std::atomic<uint64_t> m_moved { 0 };
     std::atomic<Instant::rep> m_limit;
     bool m_expired { false };
     bool m_reading { false };
--- a/src/http/HttpMessages.cpp
+++ b/src/http/HttpMessages.cpp
@@ -48,9 +48,9 @@
     return isQuiet ? SocketState::Quiet : SocketState::Ended;
 }
 
-Task<ErrorCode> readMore(TcpSocket& socket, beast::flat_buffer& buffer)
+Task<ErrorCode> readMore(TcpSocket& socket, beast::flat_buffer& buffer, size_t most)
 {
-    const auto room = std::min(bodyPieceBytes, buffer.max_size() - buffer.size());
+    const auto room = std::min(most, buffer.max_size() - buffer.size());
     if (!room)
         co_return ErrorCode(http::error::buffer_overflow);
     ErrorCode error;
--- a/src/http/HttpMessages.h
+++ b/src/http/HttpMessages.h
@@ -57,11 +57,16 @@
     return false;
 }
 
+/// Most bytes of a head that are read at once. Nearly all heads are shorter, and many connections wait for one.
+constexpr size_t headPieceBytes = 2 * 1024;
+
 /// Reads what has come into the buffer; end_of_stream at the end of the connection.
-Task<ErrorCode> readMore(TcpSocket&, beast::flat_buffer&);
+Task<ErrorCode> readMore(TcpSocket&, beast::flat_buffer&, size_t most = bodyPieceBytes);
 
 /// Reads a head, and what comes with it; the reason if there is none to be had.
-template <typename Parser> Task<ErrorCode> readHeader(TcpSocket& socket, beast::flat_buffer& buffer, Parser& parser)
+/// \param mayGrow asked before each reading; where it says no, the error is that there is not enough memory
+template <typename Parser, typename MayGrow>
+Task<ErrorCode> readHeader(TcpSocket& socket, beast::flat_buffer& buffer, Parser& parser, MayGrow mayGrow)
 {
     ErrorCode error;
     while (!parser.is_header_done()) {
@@ -73,13 +78,20 @@
         }
 
         // 2. More. The buffer has room for any head within the limit.
-        error = co_await readMore(socket, buffer);
+        if (!mayGrow())
+            co_return make_error_code(boost::system::errc::not_enough_memory);
+        error = co_await readMore(socket, buffer, headPieceBytes);
         if (error)
             co_return error;
     }
     co_return ErrorCode();
 }
 
+template <typename Parser> Task<ErrorCode> readHeader(TcpSocket& socket, beast::flat_buffer& buffer, Parser& parser)
+{
+    co_return co_await readHeader(socket, buffer, parser, [] { return true; });
+}
+
 /// Whether the parser failed for bytes that are no body, rather than for the end of the connection.
 bool isMalformed(ErrorCode);
 
@@ -116,27 +128,32 @@
     const auto left = parser.content_length_remaining();
     piece.bytes.resize(left ? std::min<uint64_t>(*left, bodyPieceBytes) : bodyPieceBytes);
     auto& body = parser.get().body();
-    while (true) {
-        // 1. Into what is left of the piece: from what has come, or else from the socket.
-        body.data = piece.bytes.data();
-        body.size = piece.bytes.size();
-        auto error = co_await parseBody(socket, buffer, parser);
+    size_t read = 0;
+    ErrorCode error;
+    while (!parser.is_done() && read < piece.bytes.size()) {
+        // 1. Into what is left of the piece. Only an empty one is waited for; small chunks that have come are joined.
+        body.data = piece.bytes.data() + read;
+        body.size = piece.bytes.size() - read;
+        const bool goesOn = !read || parseBuffered(buffer, parser, error);
+        if (!read)
+            error = co_await parseBody(socket, buffer, parser);
         if (error == http::error::need_buffer)
             error = {};
-        const size_t read = piece.bytes.size() - body.size;
-
-        // 2. Tell a malformed or cut body from one that goes on or ends.
-        if (error) {
-            piece.bytes.resize(read);
-            piece.end = isMalformed(error) ? BodyEnd::Malformed : BodyEnd::Cut;
-            co_return piece;
-        }
-        if (read || parser.is_done()) {
-            piece.bytes.resize(read);
-            piece.end = parser.is_done() ? BodyEnd::Last : BodyEnd::More;
-            co_return piece;
-        }
+        read = piece.bytes.size() - body.size;
+        if (error || !goesOn)
+            break;
     }
+
+    // 2. Tell a malformed or cut body from one that goes on or ends.
+    piece.bytes.resize(read);
+    if (error)
+        piece.end = isMalformed(error) ? BodyEnd::Malformed : BodyEnd::Cut;
+    else
+        piece.end = parser.is_done() ? BodyEnd::Last : BodyEnd::More;
+    // A piece may wait among many others; it must not take up much more than its bytes.
+    if (piece.bytes.capacity() > 2 * read)
+        piece.bytes.shrink_to_fit();
+    co_return piece;
 }
 
 /// Makes a piece of a body the next to be written of a buffer_body message.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -21,6 +21,10 @@
     constexpr size_t roomShare = 64;
     // How late the end of a time limit may be seen; short beside the shortest of them.
     constexpr Duration sweepPeriod = milliseconds(250);
+    // How often connections may be ended to free buffers, since finding them means looking at all, and the share of the
+    // side's part that is freed each time.
+    constexpr Duration freeingPeriod = milliseconds(20);
+    constexpr uint64_t freedShare = 4;
 
     // A status that never has a body, whatever the headers say.
     bool isBodiless(uint16_t status) { return status == 204 || status == 304 || status < 200; }
@@ -81,7 +85,9 @@
     {
         connection->limit(connection->limits.pieceTimeout);
         ErrorCode error;
-        co_await http::async_write(connection->socket, *serializer, redirect_error(useAwaitable, error));
+        const auto written
+            = co_await http::async_write(connection->socket, *serializer, redirect_error(useAwaitable, error));
+        connection->noteMoved(written);
         connection->unlimit();
         co_return !error || error == http::error::need_buffer;
     }
@@ -116,6 +122,7 @@
         co_await self.allowBody();
     connection.limit(connection.limits.pieceTimeout);
     auto piece = co_await readPiece(connection.socket, connection.buffer, *self.parser);
+    connection.noteMoved(piece.bytes.size());
     connection.unlimit();
     if (piece.end == BodyEnd::Cut && connection.expired())
         piece.end = BodyEnd::TooSlow;
@@ -198,6 +205,10 @@
 
 bool HttpExchange::replyStarted() const { return m_implementation->serializer.has_value(); }
 
+bool HttpExchange::holdBuffers(uint64_t bytes) { return m_implementation->connection->hold(bytes); }
+
+void HttpExchange::forceBuffers(uint64_t bytes) { m_implementation->connection->force(bytes); }
+
 bool HttpExchange::callerGone() const { return m_implementation->connection->hasCallerGone(); }
 
 void HttpExchange::onCallerGone(std::function<void()> callback)
@@ -233,10 +244,13 @@
     ErrorCode takeAll(TcpSocket first);
     void take(TcpSocket);
     bool makeRoom();
+    void freeBuffers();
+    bool isShortOfBuffers() const { return limits.budget && limits.budget->isShort(limits.side); }
     Task<void> sweep();
     void endLateSteps();
     Task<void> serve(std::shared_ptr<HttpConnection>);
     Task<bool> serveOne(std::shared_ptr<HttpConnection>);
+    bool mayGrow(HttpConnection&);
     Task<void> reject(HttpConnection&, Reason);
 
     void add(const std::shared_ptr<HttpConnection>& connection)
@@ -270,6 +284,7 @@
     std::atomic<size_t> lingering { 0 };
     std::mutex lock;
     std::set<std::shared_ptr<HttpConnection>> connections;
+    Instant nextFreeing;
 };
 
 // Takes connections until the acceptor is closed. A failed accept must not end it, nor may it be tried again without a
@@ -311,6 +326,8 @@
 {
     const bool isFull = count() >= limits.connections;
     if (isFull && !makeRoom()) {
+        if (limits.budget)
+            freeBuffers();
         handler.noteAcceptance(Acceptance::TurnedAway);
         return;
     }
@@ -349,6 +366,37 @@
     return closed > 0;
 }
 
+// Ends the connections that burden this server most: those that hold much, have held it for long, and whose callers
+// have moved little. So many that a quarter of this side's part is free again.
+void HttpServer::Implementation::freeBuffers()
+{
+    using Burdened = std::pair<double, std::shared_ptr<HttpConnection>>;
+    const auto now = BootClock::now();
+    std::vector<Burdened> burdened;
+    {
+        std::lock_guard guard(lock);
+        if (now < nextFreeing)
+            return;
+        nextFreeing = now + freeingPeriod;
+        for (const auto& connection : connections) {
+            if (const auto burden = connection->burden(now))
+                burdened.emplace_back(*burden, connection);
+        }
+    }
+    std::ranges::sort(burdened, std::greater(), &Burdened::first);
+    uint64_t freed = 0;
+    size_t ended = 0;
+    for (const auto& [burden, connection] : burdened) {
+        if (freed >= limits.budget->limit(limits.side) / freedShare)
+            break;
+        freed += connection->heldBytes();
+        ++ended;
+        boost::asio::post(connection->strand, [connection = connection] { connection->expire(); });
+    }
+    if (ended)
+        handler.noteBuffersFreed(ended);
+}
+
 Task<void> HttpServer::Implementation::serve(std::shared_ptr<HttpConnection> connection)
 {
     const auto self = shared_from_this();
@@ -376,6 +424,8 @@
         sweepTimer.expires_after(sweepPeriod);
         co_await sweepTimer.async_wait(redirect_error(useAwaitable, error));
         endLateSteps();
+        if (isShortOfBuffers())
+            freeBuffers();
     }
 }
 
@@ -398,6 +448,8 @@
             return Reason::HeadTooLarge;
         if (error == beast::error::timeout)
             return Reason::SlowCaller;
+        if (error == boost::system::errc::not_enough_memory)
+            return Reason::MemoryFull;
         if (error == http::error::end_of_stream)
             return Reason::None;
         if (error.category() == http::make_error_code(http::error::bad_method).category())
@@ -416,6 +468,17 @@
 
 } // namespace
 
+// A head that is longer than most counts for what it takes up.
+bool HttpServer::Implementation::mayGrow(HttpConnection& connection)
+{
+    if (connection.buffer.size() < headPieceBytes)
+        return true;
+    const bool hasRoom = connection.hold(2 * connection.buffer.size());
+    if (!hasRoom || isShortOfBuffers())
+        freeBuffers();
+    return hasRoom;
+}
+
 Task<bool> HttpServer::Implementation::serveOne(std::shared_ptr<HttpConnection> connection)
 {
     // 1. The head.
@@ -430,7 +493,8 @@
     parser->body_limit(boost::none);
     connection->limit(limits.headTimeout);
     connection->beginHead();
-    const auto error = co_await readHeader(connection->socket, connection->buffer, *parser);
+    const auto error = co_await readHeader(
+        connection->socket, connection->buffer, *parser, [this, &connection] { return mayGrow(*connection); });
     connection->endHead();
     connection->unlimit();
     const auto fault
@@ -447,6 +511,8 @@
     co_await handler.serve(exchange);
     connection->forgetCaller();
 
+    connection->shrink();
+
     // 3. The connection goes on only after a whole request and a whole reply.
     if (!exchangeState.finished) {
         exchange->abort();
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -2,6 +2,8 @@
 
 #include "log/Log.h"
 
+#include <malloc.h>
+
 namespace Vanillaridge {
 
 namespace {
@@ -15,6 +17,9 @@
     constexpr Duration admissionPeriod = milliseconds(5);
     // Memories are swept, and the arena of each sweep is the whole table, so not at every tick.
     constexpr uint64_t ticksPerSweep = 20;
+    // Memory is given back to the system once buffers have shrunk to a quarter of a peak of at least so many bytes.
+    constexpr uint64_t leastPeakToTrim = 4 << 20;
+    constexpr uint64_t trimShare = 4;
 
 } // namespace
 
@@ -90,10 +95,22 @@
     if (++m_ticks % ticksPerSweep == 0) {
         control.guardLedger.expire();
         control.duplicates.expire();
+        trimMemory();
     }
     reportChanges();
 }
 
+// The allocator keeps what a flood of clients has made it take until it is told that little of it is in use.
+void Duties::trimMemory()
+{
+    m_bufferPeak = std::max(m_bufferPeak, m_parts.buffers.takePeak());
+    const auto held = m_parts.buffers.heldInAll();
+    if (m_bufferPeak < leastPeakToTrim || held > m_bufferPeak / trimShare)
+        return;
+    m_bufferPeak = held;
+    malloc_trim(0);
+}
+
 // Attempts in a queue before a backend server; none most of the time.
 void Duties::tickAdmission()
 {
--- a/src/node/Duties.h
+++ b/src/node/Duties.h
@@ -27,6 +27,7 @@
     void tickControllers();
     void tickAdmission();
     void reportChanges();
+    void trimMemory();
     void reportIntake();
 
     Parts& m_parts;
@@ -37,6 +38,8 @@
     bool m_stopped { false };
     Instant m_nextControllers;
     uint64_t m_ticks { 0 };
+    /// The most that buffers held since memory was last given back.
+    uint64_t m_bufferPeak { 0 };
     bool m_wasServing { true };
     bool m_wasWatching { false };
     bool m_wasInDoubt { false };
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -123,7 +123,14 @@
         co_return Reason::ShedAtEntry;
     }
 
-    // 3. Is it within the account's rate? Calls further down are part of a request that was counted.
+    // 3. Is there room for its body?
+    makeBody();
+    if (!m_body->holdBuffers()) {
+        m_decision.retryAfter = m_parts.control.retry.retryAfter(service(), Reason::MemoryFull);
+        co_return Reason::MemoryFull;
+    }
+
+    // 4. Is it within the account's rate? Calls further down are part of a request that was counted.
     if (m_decision.account && m_decision.account->rate > 0)
         co_return co_await takeToken();
     co_return Reason::None;
@@ -165,6 +172,15 @@
         m_decision.context.account, [answer](const QuotaDecision& decided) { answer->put(decided); });
 }
 
+// Lambdas with owners in them are made in plain functions: see the developers' page.
+void EntryRequest::makeBody()
+{
+    m_body = std::make_shared<RequestBody>(m_exchange, m_decision.route->bodyLimit, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->watchCaller();
+    });
+}
+
 void EntryRequest::open()
 {
     std::optional<RequestId> parent;
@@ -177,10 +193,6 @@
     }
     m_parts.control.entryLedger.open(m_decision.context, m_decision.deadline, parent, true);
     m_parts.control.retry.countFirstAttempt(service());
-    m_body = std::make_shared<RequestBody>(m_exchange, m_decision.route->bodyLimit, [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->watchCaller();
-    });
     watch();
 }
 
@@ -469,6 +481,10 @@
     ReplyHead reply { head.status, std::move(head.headers), head.hasBody, head.contentLength };
     const bool hasBody = reply.hasBody;
     m_answerStatus = reply.status;
+    // An answer has to be delivered, so its bytes are taken in any case: as many as come before the caller takes some.
+    constexpr uint64_t mostUnread = initialBodyCredit + bodyPieceBytes;
+    if (hasBody)
+        m_exchange->forceBuffers(std::min(mostUnread, reply.contentLength.value_or(mostUnread)));
     auto message = hasBody ? m_stream->takeNow() : std::nullopt;
     const auto writing = message ? HeadWriting::WithBody : HeadWriting::AtOnce;
     bool written = co_await m_exchange->writeHead(std::move(reply), writing);
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -37,6 +37,7 @@
     Reason claimIdempotencyKey();
     Task<Reason> takeToken();
     QuotaDecision askQuota(const std::shared_ptr<Mailbox<QuotaDecision>>&);
+    void makeBody();
     void open();
     void watch();
     void watchCaller();
--- a/src/node/GuardAttempt.cpp
+++ b/src/node/GuardAttempt.cpp
@@ -14,8 +14,10 @@
 namespace {
 
     constexpr Duration connectPatience = seconds(1);
-    /// Room for body bytes beyond the first, once the backend server works on the request.
+    /// Room for body bytes beyond the first, once the backend server works on the request: halved until there is room
+    /// for it among the buffers of this node, and nothing below the least.
     constexpr size_t startedBodyCredit = 192 * 1024;
+    constexpr size_t leastStartedBodyCredit = 24 * 1024;
 
     bool signalsOverload(uint16_t status) { return status == 429 || status == 503; }
     bool isFailure(uint16_t status) { return status >= 500; }
@@ -37,6 +39,7 @@
     , m_label(parts.dialect.labelIn(m_open.headers))
     , m_timer(m_strand)
     , m_admissionDecided(std::make_shared<Event>())
+    , m_hold(&parts.buffers, BufferSide::Attempts)
 {
 }
 
@@ -45,9 +48,11 @@
     const auto self = shared_from_this();
 
     // 1. Whether this attempt may be taken at all. A repeated message needs no answer beside the first one's.
-    const auto reason = m_parts.control.guardLedger.accept(m_open, m_stream->peer(), senderClock);
+    auto reason = m_parts.control.guardLedger.accept(m_open, m_stream->peer(), senderClock);
     if (reason == Reason::Duplicate)
         co_return;
+    if (reason == Reason::None && !holdBody())
+        reason = Reason::MemoryFull;
     if (reason != Reason::None) {
         refuse(reason, false);
         co_return;
@@ -263,10 +268,30 @@
     };
 }
 
+// The part of the body that the entry may send before the backend server works on the request.
+bool GuardAttempt::holdBody()
+{
+    constexpr uint64_t most = initialBodyCredit;
+    return !m_open.hasBody || m_hold.resize(std::min(most, m_open.contentLength.value_or(most)));
+}
+
+// Makes room for more of a long body; returns how much.
+size_t GuardAttempt::holdMore()
+{
+    const auto held = m_hold.bytes();
+    const auto rest
+        = m_open.contentLength ? *m_open.contentLength - std::min(held, *m_open.contentLength) : startedBodyCredit;
+    for (size_t more = startedBodyCredit; more >= leastStartedBodyCredit; more /= 2) {
+        if (m_hold.resize(held + std::min<uint64_t>(more, rest)))
+            return more;
+    }
+    return 0;
+}
+
 void GuardAttempt::startSendingBody()
 {
     m_sendingBody = true;
-    m_stream->grantCredit(startedBodyCredit);
+    m_stream->grantCredit(holdMore());
     boost::asio::co_spawn(m_strand, sendBody(shared_from_this()), boost::asio::detached);
 }
 
--- a/src/node/GuardAttempt.h
+++ b/src/node/GuardAttempt.h
@@ -25,6 +25,8 @@
     Task<bool> passAnswerBody();
     void awaitDecision();
     void startReading();
+    bool holdBody();
+    size_t holdMore();
     void startSendingBody();
     static Task<void> sendBody(std::shared_ptr<GuardAttempt>);
     Task<void> writePieces();
@@ -73,6 +75,8 @@
     AdmissionDecision m_admission;
     std::shared_ptr<BackendCall> m_call;
 
+    /// Counts the bytes of the request's body that may lie here.
+    BufferHold m_hold;
     /// Pieces of the request's body that have come and are not written yet; bounded by the stream's credit.
     std::deque<BodyChunk> m_pieces;
     Event m_pieceCame;
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -13,6 +13,16 @@
     return m_dialect.refusal({ reason });
 }
 
+void CountingHandler::noteBuffersFreed(size_t connections)
+{
+    m_board.counters().add(Counter::ConnectionsEndedForBuffers, connections);
+    constexpr Duration linePeriod = seconds(1);
+    const auto now = BootClock::now().time_since_epoch();
+    auto next = m_nextBufferLine.load();
+    if (now.count() >= next && m_nextBufferLine.compare_exchange_strong(next, (now + linePeriod).count()))
+        log(LogLevel::Warning, "buffers-short", { { "connections-ended", connections } });
+}
+
 Task<void> CallerHandler::serve(std::shared_ptr<HttpExchange> exchange)
 {
     co_await m_flow.serveCaller(std::move(exchange));
--- a/src/node/Handlers.h
+++ b/src/node/Handlers.h
@@ -14,10 +14,12 @@
     {
     }
     SimpleReply rejection(Reason) override;
+    void noteBuffersFreed(size_t connections) override;
 
 protected:
     Board& m_board;
     const Dialect& m_dialect;
+    std::atomic<Duration::rep> m_nextBufferLine { 0 };
 };
 
 /// Callers' requests.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -25,14 +25,28 @@
 
     constexpr Duration drainLookPeriod = milliseconds(20);
 
-    HttpLimits httpLimits(const LimitSettings& settings, size_t connections)
+    // Memory that a connection takes up beside what it holds, and the share of the instance's memory for connections at
+    // one address.
+    constexpr uint64_t connectionBytes = 8 * 1024;
+    constexpr uint64_t connectionShare = 4;
+
+    size_t connectionsWithin(uint64_t memory, size_t wished)
+    {
+        return static_cast<size_t>(
+            std::clamp<uint64_t>(instanceMemory(memory) / connectionShare / connectionBytes, 1, wished));
+    }
+
+    HttpLimits httpLimits(
+        const LimitSettings& settings, size_t connections, BufferBudget* budget = nullptr, BufferSide side = {})
     {
         HttpLimits limits;
         limits.headBytes = static_cast<uint32_t>(settings.headSize);
         limits.headTimeout = settings.headTimeout;
         limits.pieceTimeout = settings.bodyTimeout;
         limits.idleTimeout = settings.idleTimeout;
-        limits.connections = connections;
+        limits.connections = connectionsWithin(settings.memory, connections);
+        limits.budget = budget;
+        limits.side = side;
         return limits;
     }
 
@@ -76,6 +90,7 @@
         Controllers m_control;
         BackendPool m_backends;
         Latencies m_latencies;
+        BufferBudget m_buffers;
         LoopLag m_loopLag;
         GuardFlow m_guardFlow;
         PeerTransport m_peers;
@@ -107,19 +122,22 @@
         , m_control(m_board, m_clock, *m_random, *m_store, m_manifestReader, settings,
               std::string(integration.manifestObject))
         , m_backends(m_context)
+        , m_buffers(bufferTotal(settings.limits.memory))
         , m_loopLag(m_context, m_board)
         , m_guardFlow(m_parts)
         , m_peers(m_context, m_board, m_clock, *m_random, settings.secret.reveal(), m_guardFlow)
         , m_parts { m_context, m_board, m_clock, *m_random, m_control, m_peers, m_backends, integration.dialect,
-            settings, m_loopLag, m_latencies }
+            settings, m_loopLag, m_latencies, m_buffers }
         , m_entryFlow(m_parts)
         , m_callerHandler(m_parts, m_entryFlow)
         , m_serverHandler(m_parts, m_entryFlow)
         , m_operatorHandler(m_parts)
         , m_readinessHandler(m_parts)
         , m_shares(shareDescriptors(availableDescriptors(settings.limits.descriptors), settings.limits.connections))
-        , m_callers(m_context, httpLimits(settings.limits, m_shares.callers), m_callerHandler)
-        , m_servers(m_context, httpLimits(settings.limits, m_shares.servers), m_serverHandler)
+        , m_callers(m_context, httpLimits(settings.limits, m_shares.callers, &m_buffers, BufferSide::Callers),
+              m_callerHandler)
+        , m_servers(m_context, httpLimits(settings.limits, m_shares.servers, &m_buffers, BufferSide::Servers),
+              m_serverHandler)
         , m_operators(m_context, httpLimits(settings.limits, m_shares.pages), m_operatorHandler)
         , m_readiness(m_context, httpLimits(settings.limits, m_shares.pages), m_readinessHandler)
         , m_duties(m_parts)
--- a/src/node/Parts.h
+++ b/src/node/Parts.h
@@ -82,6 +82,7 @@
     const Settings& settings;
     const LoopLag& loopLag;
     Latencies& latencies;
+    BufferBudget& buffers;
 };
 
 } // namespace Vanillaridge
--- a/src/node/Report.cpp
+++ b/src/node/Report.cpp
@@ -86,6 +86,31 @@
 
 } // namespace
 
+namespace {
+
+    // What the node holds for others, and how much it may.
+    void appendBuffers(std::string& text, const BufferBudget& budget)
+    {
+        using Value = uint64_t (BufferBudget::*)(BufferSide) const;
+        struct Row {
+            std::string_view name;
+            std::string_view help;
+            Value value;
+        };
+        constexpr std::array<Row, 2> rows { {
+            { "buffer_bytes", "heads and bodies held", &BufferBudget::held },
+            { "buffer_bytes_limit", "heads and bodies that may be held", &BufferBudget::limit },
+        } };
+        for (const auto& entry : rows) {
+            text += fmt::format("# HELP vanillaridge_{0} {1}\n# TYPE vanillaridge_{0} gauge\n", entry.name, entry.help);
+            for (const auto side : { BufferSide::Callers, BufferSide::Attempts, BufferSide::Servers })
+                text += fmt::format(
+                    "vanillaridge_{}{{side=\"{}\"}} {}\n", entry.name, toText(side), (budget.*entry.value)(side));
+        }
+    }
+
+} // namespace
+
 std::string metricsText(Parts& parts)
 {
     auto& board = parts.board;
@@ -97,6 +122,7 @@
         [&](Reason reason) { return board.counters().retries(reason); });
     appendGauge(text, "loop_lag_seconds", "how late the event loop is, on the average of the last tenths of a second",
         std::chrono::duration<double>(board.lag()).count());
+    appendBuffers(text, parts.buffers);
     const auto configuration = board.configuration().inForce();
     appendGauge(text, "configuration_number", "number of the configuration in force",
         configuration ? static_cast<double>(configuration->number()) : 0);
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -1,5 +1,6 @@
 #include "node/RequestBody.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -25,6 +26,14 @@
     return m_isHeld;
 }
 
+// What is kept to be sent again, and what is on its way to a guard that has not started the request.
+bool RequestBody::holdBuffers()
+{
+    constexpr uint64_t most = replayLimit + static_cast<uint64_t>(initialBodyCredit);
+    const auto& head = m_exchange->head();
+    return !head.hasBody || m_exchange->holdBuffers(std::min<uint64_t>(most, head.contentLength.value_or(most)));
+}
+
 void RequestBody::startSending(MessageStreamPointer stream)
 {
     m_sending = true;
@@ -119,10 +128,14 @@
 void RequestBody::keep(std::string_view bytes)
 {
     m_replayable = m_replayable && (m_isHeld || m_kept.size() + bytes.size() <= replayLimit);
-    if (m_replayable)
-        m_kept += bytes;
-    else
-        m_kept = {};
+    if (!m_replayable) {
+        m_kept = std::string();
+        return;
+    }
+    // Grows no further than what may be kept: most bodies that are kept are short.
+    if (m_kept.capacity() - m_kept.size() < bytes.size())
+        m_kept.reserve(std::max(m_kept.size() + bytes.size(), std::min<size_t>(2 * m_kept.size(), replayLimit)));
+    m_kept += bytes;
 }
 
 } // namespace Vanillaridge
--- a/src/node/RequestBody.h
+++ b/src/node/RequestBody.h
@@ -19,6 +19,8 @@
     /// Whether all that was read can be sent again. If so, it stays so until the next attempt: a piece that is still
     /// being read for the present one is kept beyond the limit.
     bool holdForReplay();
+    /// Counts the bytes that the body may take up here; false if there is no room for them.
+    bool holdBuffers();
     /// Why the body could not be passed on whole; None as long as it can.
     Reason failure() const { return m_failure; }
     /// Whether no server would take the body, whatever its pace: a repeat would fail in the same way.
