Place requests where they would complete soonest, by cost and speed

Requests that look alike cost very different amounts and servers differ in speed, but placement compared requests for each slot alone. With placement = "soonest-completion" a node learns from completions what requests of a route and body length cost, and how fast each server is, counts the cost that is outstanding, and draws two servers to choose the one where the request would complete sooner; it leaves its zone only if the target would be missed and time is saved.

--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -60,6 +60,7 @@
     Sharded<ServiceName, ServerGroup> servers;
     Sharded<ServiceName, LocalServerRecord> localServers;
     Sharded<uint64_t, DepartureRecord> departures;
+    Sharded<CostKey, CostRecord> costs;
     Sharded<FlowKey, ShedRecord> shedRecords;
     Sharded<RouteName, RouteCallsRecord> routeCalls;
     Sharded<RequestId, EntryRecord> entries;
@@ -94,6 +95,8 @@
 
 Sharded<uint64_t, DepartureRecord>& Board::departures() { return m_facts->departures; }
 
+Sharded<CostKey, CostRecord>& Board::costs() { return m_facts->costs; }
+
 Sharded<FlowKey, ShedRecord>& Board::shedRecords() { return m_facts->shedRecords; }
 
 Sharded<RouteName, RouteCallsRecord>& Board::routeCalls() { return m_facts->routeCalls; }
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -32,6 +32,14 @@
     auto operator<=>(const ServerKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+/// Speed of a backend server against the others of its service: what its requests were expected to take, over what they
+/// took, both in seconds and with decay.
+struct SpeedRecord {
+    double expected { 0 };
+    double observed { 0 };
+    Instant at;
+};
+
 /// A backend server that requests may be sent to, and what answers from it have told.
 struct ServerRecord {
     Endpoint endpoint;
@@ -42,6 +50,9 @@
     Instant feedbackAt;
     /// Requests that this node has on the way to it.
     uint32_t outstanding { 0 };
+    /// What those requests are expected to cost, in seconds at a server of mean speed.
+    double outstandingCost { 0 };
+    SpeedRecord speed;
     /// Failures in a row, and until when the server is set aside for them.
     uint32_t failures { 0 };
     Instant setAsideUntil;
@@ -70,6 +81,22 @@
     Instant notedAt;
 };
 
+/// Requests that are likely to cost alike. An empty route stands for all requests of the service, class 0 for bodies of
+/// any length.
+struct CostKey {
+    ServiceName service;
+    RouteName route;
+    uint32_t bodyClass { 0 };
+    auto operator<=>(const CostKey&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// What such requests cost at a server of mean speed, in seconds: moving averages of the cost and of its deviation.
+struct CostRecord {
+    double mean { 0 };
+    double deviation { 0 };
+    double samples { 0 };
+};
+
 // --- Load further down --------------------------------------------------------------------------------------------
 
 /// Requests that share a shed level: those of one account on one route.
@@ -245,6 +272,14 @@
         return Vanillaridge::mixHash(std::hash<std::string>()(key.route), std::hash<std::string>()(key.account));
     }
 };
+template <> struct std::hash<Vanillaridge::CostKey> {
+    size_t operator()(const Vanillaridge::CostKey& key) const noexcept
+    {
+        return Vanillaridge::mixHash(
+            Vanillaridge::mixHash(std::hash<std::string>()(key.service), std::hash<std::string>()(key.route)),
+            key.bodyClass);
+    }
+};
 template <> struct std::hash<Vanillaridge::DuplicateKey> {
     size_t operator()(const Vanillaridge::DuplicateKey& key) const noexcept { return key.low; }
 };
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -118,6 +118,9 @@
     /// The same for bytes that have to be kept, such as those of an answer.
     void forceBuffers(uint64_t bytes);
 
+    /// Ends the connection after the reply, whatever has come behind the request.
+    void closeAfterReply();
+
     /// Whether the caller's side of the connection has ended, as far as the machine knows by now.
     bool callerGone() const;
     /// Calls back once, on the strand, if the caller's side of the connection ends before the exchange does.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -100,6 +100,7 @@
     std::optional<ResponseSerializer> serializer;
     std::optional<uint64_t> bytesToWrite;
     bool finished { false };
+    bool closesAfterReply { false };
     bool endsConnection { false };
 };
 
@@ -145,7 +146,7 @@
     // 1. A connection whose request was not read to its end cannot carry another one. One that is to close does so
     // after what has been read.
     const bool isLast = connection.closing && !connection.buffer.size();
-    const bool keepAlive = self.parser->keep_alive() && self.parser->is_done() && !isLast;
+    const bool keepAlive = self.parser->keep_alive() && self.parser->is_done() && !isLast && !self.closesAfterReply;
 
     // 2. The head, with the body's framing.
     const bool bodiless = isBodiless(head.status) || self.parser->get().method() == http::verb::head;
@@ -205,6 +206,8 @@
 
 bool HttpExchange::replyStarted() const { return m_implementation->serializer.has_value(); }
 
+void HttpExchange::closeAfterReply() { m_implementation->closesAfterReply = true; }
+
 bool HttpExchange::holdBuffers(uint64_t bytes) { return m_implementation->connection->hold(bytes); }
 
 void HttpExchange::forceBuffers(uint64_t bytes) { m_implementation->connection->force(bytes); }
--- a/src/node/EntryRequest.cpp
+++ b/src/node/EntryRequest.cpp
@@ -252,7 +252,8 @@
         }
 
         // 2. One attempt at it.
-        Attempt attempt { *choice, {}, m_parts.clock.now(), 0, std::nullopt, std::nullopt, Duration(0), Reason::None };
+        Attempt attempt { *choice, {}, m_parts.clock.now(), 0, std::nullopt, std::nullopt, Duration(0), Duration(0),
+            Reason::None };
         const auto decision = co_await makeAttempt(attempt);
         conclude(attempt);
         const auto ended = attempt.reason != Reason::None ? attempt.reason : decision.reason;
@@ -305,12 +306,22 @@
 {
     auto& placement = m_parts.control.placement;
     if (!repeatsRejection()) {
-        if (auto choice = placement.choose(service(), m_tried)) {
+        if (auto choice = placement.choose(service(), m_tried, costTraits())) {
             m_tried.push_back(choice->server.node);
             return choice;
         }
     }
-    return placement.chooseAmong(service(), m_rejectedBy);
+    return placement.chooseAmong(service(), m_rejectedBy, costTraits());
+}
+
+// What is left of the target counts: a request that came back has used some of it.
+CostTraits EntryRequest::costTraits() const
+{
+    const auto target = m_decision.route->targetLatency;
+    const auto used = m_parts.clock.now() - m_receivedAt;
+    const auto& head = m_exchange->head();
+    return { m_decision.context.route, head.hasBody ? head.contentLength : std::optional<uint64_t>(0),
+        target > Duration(0) ? std::max<Duration>(target - used, milliseconds(1)) : Duration(0) };
 }
 
 Task<void> EntryRequest::pause(Duration time)
@@ -474,6 +485,7 @@
 {
     attempt.usedBelow = head.retriesUsed;
     attempt.feedback = head.feedback;
+    attempt.backendTime = head.backendTime;
     m_parts.control.retry.returnFromAttempt(id(), attempt.lent, attempt.usedBelow);
     m_parts.latencies.added.record(m_parts.clock.now() - m_receivedAt - head.backendTime);
 
@@ -538,8 +550,8 @@
 {
     const auto latency = m_parts.clock.now() - attempt.sentAt;
     m_parts.control.placement.callCompleted(attempt.choice,
-        { m_decision.context, m_parentRoute, attempt.reason, attempt.feedback ? &*attempt.feedback : nullptr,
-            latency });
+        { m_decision.context, m_parentRoute, attempt.reason, attempt.feedback ? &*attempt.feedback : nullptr, latency,
+            attempt.backendTime, costTraits().bodyBytes });
 }
 
 // --- The end --------------------------------------------------------------------------------------------------------
--- a/src/node/EntryRequest.h
+++ b/src/node/EntryRequest.h
@@ -25,6 +25,7 @@
         uint32_t lent { 0 };
         std::optional<uint32_t> usedBelow;
         std::optional<LoadFeedback> feedback;
+        Duration backendTime { 0 };
         Duration retryAfter { 0 };
         Reason reason { Reason::None };
     };
@@ -45,6 +46,7 @@
     // Attempts.
     Task<void> serve();
     std::optional<PlacementChoice> chooseServer();
+    CostTraits costTraits() const;
     static Reason timeoutAfter(Reason lastReason);
     bool repeatsRejection() const;
     Task<void> pause(Duration);
--- a/src/node/Parts.cpp
+++ b/src/node/Parts.cpp
@@ -35,7 +35,7 @@
     , quota(board, clock, random, objects, settings.quota)
     , retry(board, clock, random)
     , entry(board, clock, random, freshness, retry)
-    , placement(board, clock, random)
+    , placement(board, clock, random, settings.placement)
     , admission(board, clock, random)
     , guardLedger(board, clock)
     , entryLedger(board)
--- a/src/node/RequestBody.cpp
+++ b/src/node/RequestBody.cpp
@@ -111,6 +111,8 @@
     else if (m_read > m_limit)
         m_failure = Reason::BodyTooLarge;
     if (m_failure != Reason::None) {
+        // A caller that breaks the limits is not read on, even if the end of the body has come with the last piece.
+        m_exchange->closeAfterReply();
         // Nodes of an earlier version do not know MalformedBody.
         stream.send(CancelRequest { m_failure == Reason::MalformedBody ? Reason::CallerGone : m_failure });
         co_return false;
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -27,6 +27,12 @@
     // to a server in another zone.
     constexpr double crossZoneLoadThreshold = 0.8;
     constexpr double crossZoneLoadPenalty = 0.1;
+    // Share of the target latency within which a request may be expected to complete, tail included, without servers in
+    // other zones being considered; and the time that another zone must save, for the way there and back and for bytes
+    // that cost more. Without a target, the zone is left for a time that is saved alone.
+    constexpr double targetShareInZone = 0.5;
+    constexpr double crossZoneTime = 0.005;
+    constexpr double crossZoneTimeShare = 0.25;
     // Fraction of its slots that a server is assumed to have at the beginning of its slow start.
     constexpr double slowStartInitialFraction = 0.2;
     // Request and call counts decay: they are halved at this many requests.
@@ -89,6 +95,14 @@
     };
     using Candidates = std::vector<Candidate>;
 
+    // Puts the candidates of this zone first; returns how many there are.
+    size_t partitionByZone(Candidates& candidates, const ZoneName& zone)
+    {
+        const auto elsewhere = std::partition(candidates.begin(), candidates.end(),
+            [&](const Candidate& candidate) { return candidate.record->zone == zone; });
+        return static_cast<size_t>(elsewhere - candidates.begin());
+    }
+
 } // namespace
 
 struct Placement::State {
@@ -101,18 +115,36 @@
     {
     }
 
+    // What a selection goes by, beside the candidates.
+    struct PickContext {
+        Duration slowStart { 0 };
+        CostEstimate cost;
+        Duration targetLatency { 0 };
+    };
     // Selection function of each strategy, in the order of PlacementStrategy.
-    using Pick = const Candidate* (State::*)(const Candidates&, Duration slowStart);
-    static const std::array<Pick, 2> picks;
+    using Pick = const Candidate* (State::*)(const Candidates&, const PickContext&);
+    static const std::array<Pick, 3> picks;
+    // Compares two servers; the lower is chosen.
+    using Measure = double (State::*)(const ServerRecord&, const PickContext&) const;
 
-    const Candidate* pickRandom(const Candidates&, Duration slowStart);
-    const Candidate* pickTwoChoices(const Candidates&, Duration slowStart);
-    const Candidate* lessLoadedOfTwo(std::span<const Candidate>, Duration slowStart);
+    const Candidate* pickRandom(const Candidates&, const PickContext&);
+    const Candidate* pickTwoChoices(const Candidates&, const PickContext&);
+    const Candidate* pickSoonestCompletion(const Candidates&, const PickContext&);
+    const Candidate* lowerOfTwo(std::span<const Candidate>, Measure, const PickContext&);
+
+    double loadOf(const ServerRecord& server, const PickContext& context) const
+    {
+        return load(server, context.slowStart);
+    }
+    double completionOf(const ServerRecord&, const PickContext&) const;
+    double completionOf(const ServerRecord&, const PickContext&, double cost) const;
+    Measure measureFor(const PickContext& context) const;
+    PickContext contextFor(std::string_view service, const CostTraits&) const;
 
     double load(const ServerRecord&, Duration slowStart) const;
     double slowStartFactor(const ServerRecord&, Duration slowStart) const;
     Candidates eligibleServers(const ServerGroup&, std::span<const NodeId> tried) const;
-    void recordResult(ServerRecord&, const CallCompletion&);
+    void recordResult(ServerRecord&, const PlacementChoice&, const CallCompletion&);
     void updateShedLevel(const CallCompletion&);
     void countCall(const CallCompletion&);
     double decayedShedLevel(const ShedRecord&) const;
@@ -122,11 +154,29 @@
     Board& board;
     Clock& clock;
     RandomSource& random;
+    const CostModel costs { board };
     const PlacementStrategy strategy;
     const EdgeShedding shedding;
 };
 
-const std::array<Placement::State::Pick, 2> Placement::State::picks { &State::pickTwoChoices, &State::pickRandom };
+const std::array<Placement::State::Pick, 3> Placement::State::picks { &State::pickTwoChoices, &State::pickRandom,
+    &State::pickSoonestCompletion };
+
+namespace {
+
+    constexpr std::array<std::string_view, 3> strategyNames { "two-choices", "pure-random", "soonest-completion" };
+
+} // namespace
+
+std::string_view toText(PlacementStrategy strategy) { return strategyNames[static_cast<size_t>(strategy)]; }
+
+std::optional<PlacementStrategy> placementStrategyFromText(std::string_view text)
+{
+    const auto found = std::ranges::find(strategyNames, text);
+    if (found == strategyNames.end())
+        return std::nullopt;
+    return static_cast<PlacementStrategy>(found - strategyNames.begin());
+}
 
 // Servers that are neither tried nor draining, without those set aside as long as enough servers remain.
 Candidates Placement::State::eligibleServers(const ServerGroup& group, std::span<const NodeId> tried) const
@@ -173,36 +223,98 @@
     return (std::max(reported, double(server.outstanding)) + 1) / slots;
 }
 
-const Candidate* Placement::State::pickRandom(const Candidates& candidates, Duration)
+// When the request would complete there, in seconds. Others' requests are known as fresh as the last answer is.
+double Placement::State::completionOf(const ServerRecord& server, const PickContext& context, double cost) const
+{
+    const auto now = clock.now();
+    const auto age = now - server.feedbackAt;
+    const double freshness = std::max(0.0, 1 - double(age.count()) / double(feedbackLifetime.count()));
+    const double reported = freshness * double(server.feedback.running + server.feedback.waiting);
+    ServerLoad load;
+    load.limit = freshness > 0 ? server.feedback.limit : server.announcement.slots;
+    load.ownRequests = server.outstanding;
+    load.requests = std::max(reported, load.ownRequests);
+    load.ownCost = server.outstandingCost;
+    load.speed = speedAt(server.speed, now) * slowStartFactor(server, context.slowStart);
+    return completionTime(load, context.cost, cost);
+}
+
+double Placement::State::completionOf(const ServerRecord& server, const PickContext& context) const
+{
+    return completionOf(server, context, context.cost.mean);
+}
+
+// While nothing is known of costs, servers are compared by their load.
+Placement::State::Measure Placement::State::measureFor(const PickContext& context) const
+{
+    const bool usesCost = strategy == PlacementStrategy::SoonestCompletion && context.cost.mean > 0;
+    return usesCost ? static_cast<Measure>(&State::completionOf) : &State::loadOf;
+}
+
+Placement::State::PickContext Placement::State::contextFor(std::string_view service, const CostTraits& traits) const
+{
+    PickContext context { slowStartOf(service), {}, traits.targetLatency };
+    if (strategy == PlacementStrategy::SoonestCompletion)
+        context.cost = costs.estimate(service, traits);
+    return context;
+}
+
+const Candidate* Placement::State::pickRandom(const Candidates& candidates, const PickContext&)
 {
     return &candidates[random.below(candidates.size())];
 }
 
-const Candidate* Placement::State::lessLoadedOfTwo(std::span<const Candidate> candidates, Duration slowStart)
+const Candidate* Placement::State::lowerOfTwo(
+    std::span<const Candidate> candidates, Measure measure, const PickContext& context)
 {
     const auto first = random.below(candidates.size());
     if (candidates.size() == 1)
         return &candidates[first];
     auto second = random.below(candidates.size() - 1);
     second += second >= first;
-    const bool isFirstLessLoaded
-        = load(*candidates[first].record, slowStart) <= load(*candidates[second].record, slowStart);
-    return &candidates[isFirstLessLoaded ? first : second];
+    const bool isFirstLower
+        = (this->*measure)(*candidates[first].record, context) <= (this->*measure)(*candidates[second].record, context);
+    return &candidates[isFirstLower ? first : second];
 }
 
 // Power of two choices in this zone; if the better server is busy, also among the servers in other zones.
-const Candidate* Placement::State::pickTwoChoices(const Candidates& candidates, Duration slowStart)
+const Candidate* Placement::State::pickTwoChoices(const Candidates& candidates, const PickContext& context)
 {
     Candidates sorted(candidates);
-    const auto& zone = board.self().zone;
-    const auto elsewhere = std::partition(
-        sorted.begin(), sorted.end(), [&](const Candidate& entry) { return entry.record->zone == zone; });
-    const std::span sameZone(sorted.begin(), elsewhere);
-    const std::span otherZones(elsewhere, sorted.end());
-    const auto* best = sameZone.empty() ? nullptr : lessLoadedOfTwo(sameZone, slowStart);
-    if (!otherZones.empty() && (!best || load(*best->record, slowStart) > crossZoneLoadThreshold)) {
-        const auto* other = lessLoadedOfTwo(otherZones, slowStart);
-        if (!best || load(*other->record, slowStart) + crossZoneLoadPenalty < load(*best->record, slowStart))
+    const auto inZone = partitionByZone(sorted, board.self().zone);
+    const auto sameZone = std::span(sorted).first(inZone);
+    const auto otherZones = std::span(sorted).subspan(inZone);
+    const auto* best = sameZone.empty() ? nullptr : lowerOfTwo(sameZone, &State::loadOf, context);
+    if (!otherZones.empty() && (!best || loadOf(*best->record, context) > crossZoneLoadThreshold)) {
+        const auto* other = lowerOfTwo(otherZones, &State::loadOf, context);
+        if (!best || loadOf(*other->record, context) + crossZoneLoadPenalty < loadOf(*best->record, context))
+            best = other;
+    }
+    return &*std::find_if(
+        candidates.begin(), candidates.end(), [&](const Candidate& entry) { return entry.record == best->record; });
+}
+
+// The sooner of two servers drawn in this zone; where that costs callers something, also of two in other zones. Two are
+// drawn rather than all compared, so that entries that learn the same do not all choose the same server.
+const Candidate* Placement::State::pickSoonestCompletion(const Candidates& candidates, const PickContext& context)
+{
+    if (context.cost.mean <= 0)
+        return pickTwoChoices(candidates, context);
+    Candidates sorted(candidates);
+    const auto inZone = partitionByZone(sorted, board.self().zone);
+    const auto sameZone = std::span(sorted).first(inZone);
+    const auto otherZones = std::span(sorted).subspan(inZone);
+    const Measure measure = measureFor(context);
+    const auto* best = sameZone.empty() ? nullptr : lowerOfTwo(sameZone, measure, context);
+    const auto isSoonEnough = [&](const Candidate& candidate) {
+        const auto target = inSeconds(context.targetLatency) * targetShareInZone;
+        return target > 0 && completionOf(*candidate.record, context, context.cost.tail) <= target;
+    };
+    if (!otherZones.empty() && (!best || !isSoonEnough(*best))) {
+        const auto* other = lowerOfTwo(otherZones, measure, context);
+        const auto there = completionOf(*other->record, context);
+        const auto here = best ? completionOf(*best->record, context) : 0;
+        if (!best || there + crossZoneTime + crossZoneTimeShare * here < here)
             best = other;
     }
     return &*std::find_if(
@@ -217,10 +329,14 @@
 }
 
 // Consecutive failures set a server aside; its health endpoint is never queried.
-void Placement::State::recordResult(ServerRecord& server, const CallCompletion& completion)
+void Placement::State::recordResult(
+    ServerRecord& server, const PlacementChoice& choice, const CallCompletion& completion)
 {
     server.outstanding -= server.outstanding > 0;
+    server.outstandingCost = server.outstanding ? std::max(0.0, server.outstandingCost - choice.expectedCost) : 0;
     const auto now = clock.now();
+    if (completion.reason == Reason::None)
+        recordSpeed(server.speed, choice.expectedCost, completion.backendTime, now);
     if (completion.feedback) {
         server.feedback = *completion.feedback;
         server.feedbackAt = now;
@@ -345,34 +461,37 @@
     }
 }
 
-std::optional<PlacementChoice> Placement::choose(std::string_view service, std::span<const NodeId> tried)
+std::optional<PlacementChoice> Placement::choose(
+    std::string_view service, std::span<const NodeId> tried, const CostTraits& traits)
 {
-    const auto slowStart = m_state->slowStartOf(service);
+    const auto context = m_state->contextFor(service, traits);
     std::optional<PlacementChoice> choice;
     m_state->board.servers().visit(ServiceName(service), [&](ServerGroup& group) {
         const auto candidates = m_state->eligibleServers(group, tried);
         if (candidates.empty())
             return;
         const auto pick = State::picks[static_cast<size_t>(m_state->strategy)];
-        const auto* picked = (*m_state.*pick)(candidates, slowStart);
-        choice = { { picked->node, ServiceName(service) }, picked->record->endpoint };
+        const auto* picked = (*m_state.*pick)(candidates, context);
+        choice = { { picked->node, ServiceName(service) }, picked->record->endpoint, context.cost.mean };
     });
     return choice;
 }
 
-std::optional<PlacementChoice> Placement::chooseAmong(std::string_view service, std::span<const NodeId> nodes)
+std::optional<PlacementChoice> Placement::chooseAmong(
+    std::string_view service, std::span<const NodeId> nodes, const CostTraits& traits)
 {
-    const auto slowStart = m_state->slowStartOf(service);
+    const auto context = m_state->contextFor(service, traits);
+    const auto measure = m_state->measureFor(context);
     std::optional<PlacementChoice> choice;
     m_state->board.servers().visit(ServiceName(service), [&](ServerGroup& group) {
         auto candidates = m_state->eligibleServers(group, {});
         std::erase_if(candidates, [&](const Candidate& candidate) {
             return std::find(nodes.begin(), nodes.end(), candidate.node) == nodes.end();
         });
-        const auto best = std::ranges::min_element(
-            candidates, {}, [&](const Candidate& candidate) { return m_state->load(*candidate.record, slowStart); });
+        const auto best = std::ranges::min_element(candidates, {},
+            [&](const Candidate& candidate) { return (*m_state.*measure)(*candidate.record, context); });
         if (best != candidates.end())
-            choice = { { best->node, ServiceName(service) }, best->record->endpoint };
+            choice = { { best->node, ServiceName(service) }, best->record->endpoint, context.cost.mean };
     });
     return choice;
 }
@@ -381,8 +500,10 @@
 {
     m_state->board.servers().visit(choice.server.service, [&](ServerGroup& group) {
         const auto found = group.find(choice.server.node);
-        if (found != group.end())
-            ++found->second.outstanding;
+        if (found == group.end())
+            return;
+        ++found->second.outstanding;
+        found->second.outstandingCost += choice.expectedCost;
     });
 }
 
@@ -391,8 +512,12 @@
     m_state->board.servers().visit(choice.server.service, [&](ServerGroup& group) {
         const auto found = group.find(choice.server.node);
         if (found != group.end())
-            m_state->recordResult(found->second, completion);
+            m_state->recordResult(found->second, choice, completion);
     });
+    const bool learnsCost = m_state->strategy == PlacementStrategy::SoonestCompletion;
+    if (learnsCost && completion.reason == Reason::None && completion.backendTime > Duration(0))
+        m_state->costs.record(choice.server.service, { completion.context.route, completion.bodyBytes, Duration(0) },
+            completion.backendTime);
     if (completion.feedback)
         m_state->updateShedLevel(completion);
     if (!completion.parentRoute.empty())
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -3,7 +3,7 @@
 /// Reads and writes the board's servers and shed records. All functions are thread-safe.
 #pragma once
 
-#include "board/Board.h"
+#include "placement/CostModel.h"
 
 namespace Vanillaridge {
 
@@ -11,6 +11,8 @@
 struct PlacementChoice {
     ServerKey server;
     Endpoint endpoint;
+    /// What the request is expected to cost, in seconds at a server of mean speed; 0 if that is not known.
+    double expectedCost { 0 };
 };
 
 /// How a call to a chosen backend server completed.
@@ -25,11 +27,17 @@
     const LoadFeedback* feedback { nullptr };
     /// Time from sending to completion.
     Duration latency { 0 };
+    /// Time at the backend server until its answer began; 0 if there was none.
+    Duration backendTime { 0 };
+    std::optional<uint64_t> bodyBytes {};
 };
 
-/// How a backend server is chosen. TwoChoices (power of two choices) is used in production; PureRandom is a baseline
-/// for measurement.
-enum class PlacementStrategy : uint8_t { TwoChoices, PureRandom };
+/// How a backend server is chosen. TwoChoices (power of two choices) compares requests for each slot,
+/// SoonestCompletion when the request would complete, by its likely cost, the work outstanding and the servers' speed.
+/// PureRandom is a baseline for measurement.
+enum class PlacementStrategy : uint8_t { TwoChoices, PureRandom, SoonestCompletion };
+std::string_view toText(PlacementStrategy);
+std::optional<PlacementStrategy> placementStrategyFromText(std::string_view);
 
 /// Whether requests are shed at entry because of downstream load. Off is a baseline for measurement.
 enum class EdgeShedding : uint8_t { On, Off };
@@ -46,10 +54,12 @@
     void refresh();
 
     /// A backend server of the service that is not in `tried`; nullopt when there is none.
-    std::optional<PlacementChoice> choose(std::string_view service, std::span<const NodeId> tried);
+    std::optional<PlacementChoice> choose(
+        std::string_view service, std::span<const NodeId> tried, const CostTraits& = {});
     /// The least loaded of these servers of the service that still takes requests; nullopt when there is none. For
     /// another attempt at servers that rejected a request unrun.
-    std::optional<PlacementChoice> chooseAmong(std::string_view service, std::span<const NodeId> nodes);
+    std::optional<PlacementChoice> chooseAmong(
+        std::string_view service, std::span<const NodeId> nodes, const CostTraits& = {});
     /// Counts a request as outstanding at the chosen server. `callCompleted` must follow exactly once.
     void callStarted(const PlacementChoice&);
     /// Records the completion of a call, and the load and shed level that it reported.
--- a/src/settings/Fields.cpp
+++ b/src/settings/Fields.cpp
@@ -26,6 +26,15 @@
 
     std::string writeLevel(const Settings& settings) { return std::string(toText(settings.logLevel)); }
 
+    bool readPlacement(Settings& settings, std::string_view text)
+    {
+        const auto strategy = placementStrategyFromText(text);
+        settings.placement = strategy.value_or(settings.placement);
+        return strategy.has_value();
+    }
+
+    std::string writePlacement(const Settings& settings) { return std::string(toText(settings.placement)); }
+
     const std::array<Field<AddressSettings>, 5> addressTable { {
         { "peers", &AddressSettings::peers, { 1, longestText }, "peers = \"10.0.0.5:7000\"", true },
         { "callers", &AddressSettings::callers, { 1, longestText }, "callers = \"10.0.0.5:8080\"", true },
@@ -34,13 +43,16 @@
         { "readiness", &AddressSettings::readiness, { 1, longestText }, "readiness = \"10.0.0.5:8083\"" },
     } };
 
-    const std::array<Field<Settings>, 7> nodeTable { {
+    const std::array<Field<Settings>, 8> nodeTable { {
         { "zone", &Settings::zone, { 1, 64 }, "zone = \"a\"", true },
         { "service", &Settings::service, { 0, 64 }, "service = \"reports\"" },
         { "announcement-period", &Settings::announcementPeriod, { 0.05, 600 }, "announcement-period = \"1500ms\"" },
         { "contacts", &Settings::contacts, { 0, mostContacts }, "contacts = [\"10.0.0.6:7000\"]" },
         { "threads", &Settings::threads, { 1, 64 }, "threads = 2" },
         { "zone-evacuation", &Settings::zoneEvacuation, {}, "zone-evacuation = false" },
+        { "placement",
+            ConvertedText<Settings> { readPlacement, writePlacement, "\"two-choices\" or \"soonest-completion\"" },
+            { 1, longestText }, "placement = \"two-choices\"" },
         { "log-level",
             ConvertedText<Settings> { readLevel, writeLevel, "\"error\", \"warning\", \"info\" or \"debug\"" },
             { 1, longestText }, "log-level = \"info\"" },
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -6,6 +6,7 @@
 #include "documents/Documents.h"
 #include "log/Log.h"
 #include "membership/Membership.h"
+#include "placement/Placement.h"
 #include "quota/Quota.h"
 
 namespace Vanillaridge {
@@ -97,6 +98,8 @@
     uint32_t threads { 2 };
     /// Whether availability zones may be evacuated by an object in the store.
     bool zoneEvacuation { false };
+    /// How a backend server is chosen for a request.
+    PlacementStrategy placement { PlacementStrategy::TwoChoices };
     LogLevel logLevel { LogLevel::Info };
     LogLimits logLimits;
     StoreSettings store;
--- a/tests/RequestFramingTests.cpp
+++ b/tests/RequestFramingTests.cpp
@@ -69,8 +69,10 @@
                 std::lock_guard guard(lock);
                 arrivals.push_back({ request->header("Request-Id"), request->method(), request->target(), request->body,
                     request->whole });
-                if (!answerFraming.empty())
+                if (!answerFraming.empty()) {
                     answer = okAnswer(*request, answerFraming, answerBytes);
+                    answer.replace(0, answer.find("\r\n"), answerStart);
+                }
             }
             if (!request->whole || !connection.send(answer) || answerEnds)
                 return;
@@ -87,9 +89,10 @@
         return found;
     }
 
-    void giveAnswers(std::string framing, std::string bytes, bool ends)
+    void giveAnswers(std::string framing, std::string bytes, bool ends, std::string start = "HTTP/1.1 200 OK")
     {
         std::lock_guard guard(lock);
+        answerStart = std::move(start);
         answerFraming = std::move(framing);
         answerBytes = std::move(bytes);
         answerEnds = ends;
@@ -97,6 +100,7 @@
 
     std::mutex lock;
     std::vector<Arrival> arrivals;
+    std::string answerStart;
     std::string answerFraming;
     std::string answerBytes;
     std::atomic<bool> answerEnds { false };
@@ -345,6 +349,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenItsHeadIsMalformed)
+
+// Guards against a status that no response has, or a field that is none, passed on to a caller, and against a body of
+// such a response that is taken for the response.
+BOOST_AUTO_TEST_CASE(ThenTheCallerGetsNoneOfIt)
+{
+    const std::string inner = "HTTP/1.1 200 OK\r\nResponse-Signature: forged\r\nContent-Length: 5\r\n\r\nother";
+    const auto length = fmt::format("Content-Length: {}\r\n", inner.size());
+    std::vector<std::pair<std::string, std::string>> heads;
+    for (const std::string status : { "000", "099", "101", "600", "999", "20", "2000" })
+        heads.emplace_back("HTTP/1.1 " + status + " Odd", length);
+    for (const std::string name : { "A B", "A ", "A\tB", "A\x01", "A\x7f", "\xc3" })
+        heads.emplace_back("HTTP/1.1 200 OK", name + ": x\r\n" + length);
+    size_t count = 0;
+    for (const auto& [start, fields] : heads) {
+        BOOST_TEST_CONTEXT(start << ' ' << fields)
+        {
+            giveAnswers(fields, inner, true, start);
+            RawConnection connection(entry.callers());
+            connection.send(headOf("POST", "/write/one", "1.1", fmt::format("odd-{}", ++count)) + "\r\n");
+            const auto answer = connection.read(patience);
+            BOOST_REQUIRE(answer);
+            BOOST_TEST(answer->status() == 502);
+            BOOST_TEST(answer->header("Response-Signature").empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenItEndsEarly)
 
 // Guards against a part of an answer that a caller of HTTP/1.0, to whom its end is the connection's, takes for all of
