--- a/src/settings/Fields.cpp
+++ b/src/settings/Fields.cpp
@@ -51,7 +51,8 @@
         { "threads", &Settings::threads, { 1, 64 }, "threads = 2" },
         { "zone-evacuation", &Settings::zoneEvacuation, {}, "zone-evacuation = false" },
         { "placement",
-            ConvertedText<Settings> { readPlacement, writePlacement, "\"two-choices\" or \"soonest-completion\"" },
+            ConvertedText<Settings> {
+                readPlacement, writePlacement, "\"two-choices\", \"soonest-completion\" or \"pure-random\"" },
             { 1, longestText }, "placement = \"two-choices\"" },
         { "log-level",
             ConvertedText<Settings> { readLevel, writeLevel, "\"error\", \"warning\", \"info\" or \"debug\"" },
