End burdened connections before their time, and leave more of the grace for the exit

The connections chosen to free buffers were only ended once their time was over. HttpTests has a case in which two stalled heads keep the room until then.

--- a/src/drain/Drain.cpp
+++ b/src/drain/Drain.cpp
@@ -13,7 +13,7 @@
     constexpr Duration minimumLeavingTime = milliseconds(300);
     // Part of the grace that is kept for the end of the process: the last messages, and a late event loop. It is
     // shorter than the last sixth of a grace of 6 s, up to which running requests must be waited for.
-    constexpr Duration reservedForExit = milliseconds(500);
+    constexpr Duration reservedForExit = milliseconds(800);
 
     // A grace too short for the whole announcement is shared evenly with the requests that run.
     Duration announcementTimeWithin(Duration grace)
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -42,7 +42,7 @@
 
 void HttpConnection::force(uint64_t bytes)
 {
-    if (!hold(bytes))
+    if (!hold(std::max(bytes, m_hold.bytes())))
         m_hold.force(bytes);
 }
 
@@ -54,12 +54,21 @@
     m_hold.resize(0);
 }
 
+bool HttpConnection::isWaitedFor() const { return m_limit != noLimit && m_wait != Wait::Request; }
+
+void HttpConnection::expireNow()
+{
+    if (!isWaitedFor())
+        return;
+    limit(Duration(0));
+    expire();
+}
+
 std::optional<double> HttpConnection::burden(Instant now) const
 {
     const auto held = m_hold.bytes();
     const auto age = now - Instant(Duration(m_heldSince.load()));
-    const bool isWaitedFor = m_limit != noLimit && m_wait != Wait::Request;
-    if (held <= smallestBurden || age < burdenGrace || !isWaitedFor)
+    if (held <= smallestBurden || age < burdenGrace || !isWaitedFor())
         return std::nullopt;
     return double(held) * inSeconds(age) / double(m_moved.load(std::memory_order_relaxed) + 1);
 }
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -22,6 +22,8 @@
     /// Ends what is under way because its time is over. The socket stays open for a last reply.
     void expire();
     bool expired() const { return m_expired; }
+    /// The same before the time is over, if the other side is still waited for.
+    void expireNow();
 
     /// Waits for the first byte of the next request, which may already be there. False when the connection has ended.
     Task<bool> awaitRequest();
@@ -71,6 +73,7 @@
     enum class Wait : uint8_t { Nothing, Request, Head };
 
     void wait(Wait);
+    bool isWaitedFor() const;
     void takeRead(ErrorCode, size_t bytes);
     size_t dropArrived(ErrorCode&);
     /// Happens when the read under way ends. The read owns it: held by whoever waits, or by the connection, it would
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -394,7 +394,7 @@
             break;
         freed += connection->heldBytes();
         ++ended;
-        boost::asio::post(connection->strand, [connection = connection] { connection->expire(); });
+        boost::asio::post(connection->strand, [connection = connection] { connection->expireNow(); });
     }
     if (ended)
         handler.noteBuffersFreed(ended);
--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -115,6 +115,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against stalled callers that keep all room for heads and bodies until their time is over.
+BOOST_AUTO_TEST_SUITE(WhenStalledHeadsTakeUpTheRoomForBuffers)
+
+BOOST_AUTO_TEST_CASE(ThenTheyAreEndedAndAnotherIsServed)
+{
+    // Half of it is for callers: room for two heads of this length.
+    constexpr uint64_t total = 128 * 1024;
+    const std::string line = "Long: " + std::string(12'000, 'x');
+    BufferBudget budget(total);
+    HttpLimits limits;
+    limits.headTimeout = seconds(60);
+    limits.budget = &budget;
+    const Served served(limits);
+    std::array<Caller, 2> stalled { Caller(served), Caller(served) };
+    for (auto& caller : stalled)
+        caller.write("GET /stalled HTTP/1.1\r\nHost: a\r\n" + line);
+    std::string reply;
+    for (const auto end = BootClock::now() + seconds(20);
+         BootClock::now() < end && !reply.starts_with("HTTP/1.1 200");) {
+        Caller other(served);
+        other.write("GET /other HTTP/1.1\r\nHost: a\r\n" + line + "\r\n\r\n");
+        reply = other.readUntil("\r\n\r\n");
+    }
+    BOOST_TEST(reply.starts_with("HTTP/1.1 200"));
+    const auto ended = std::ranges::count_if(stalled, [](Caller& caller) { return caller.awaitReply(seconds(5)); });
+    BOOST_TEST(ended > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenItIsDrained)
 
 BOOST_AUTO_TEST_CASE(ThenAConnectionThatWaitsForARequestEndsAtOnce)
