Join the handlers of a test server as they end

UploadTests ended under the thread sanitizer on arm64 with a failed check of the sanitizer itself ("((addr + size)) <= ((TraceMemEnd()))"): it has room for the traces of only so many threads that were not joined, and each connection of a RawServer left one until the end of the test.

--- a/tests/fleet/RawSockets.cpp
+++ b/tests/fleet/RawSockets.cpp
@@ -215,8 +215,8 @@
 {
     m_stopped = true;
     m_acceptor.join();
-    for (auto& thread : m_threads)
-        thread.join();
+    for (auto& serving : m_serving)
+        serving.thread.join();
     ::close(m_listener);
 }
 
@@ -236,14 +236,27 @@
         const int descriptor = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (descriptor < 0)
             continue;
-        std::lock_guard guard(m_lock);
-        m_threads.emplace_back([this, descriptor] {
-            RawConnection connection(descriptor);
-            m_handler(connection);
+        joinEnded();
+        auto& serving = m_serving.emplace_back();
+        serving.thread = std::thread([this, descriptor, &serving] {
+            {
+                RawConnection connection(descriptor);
+                m_handler(connection);
+            }
+            serving.hasEnded = true;
         });
     }
 }
 
+void RawServer::joinEnded()
+{
+    m_serving.remove_if([](Serving& serving) {
+        if (serving.hasEnded)
+            serving.thread.join();
+        return serving.hasEnded.load();
+    });
+}
+
 std::string chunkOf(std::string_view bytes) { return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes); }
 
 } // namespace Vanillaridge
--- a/tests/fleet/RawSockets.h
+++ b/tests/fleet/RawSockets.h
@@ -82,12 +82,18 @@
 
 private:
     void accept();
+    void joinEnded();
 
     Handler m_handler;
     int m_listener;
     std::atomic<bool> m_stopped { false };
-    std::mutex m_lock;
-    std::list<std::thread> m_threads;
+    // A handler on its thread. Those that have ended are joined as others begin: the thread sanitizer allows for only
+    // so many that are not.
+    struct Serving {
+        std::atomic<bool> hasEnded { false };
+        std::thread thread {};
+    };
+    std::list<Serving> m_serving;
     std::thread m_acceptor;
 };
 
