--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -10,7 +10,7 @@
     constexpr size_t lingerBytes = 256 * 1024;
     // The buffer of a connection between exchanges.
     constexpr size_t idleBufferBytes = 4 * 1024;
-    // A connection that holds no more is not worth ending, and one is given some time to move what it holds.
+    // Ending a connection that holds no more frees too little, and each is given some time to move what it holds.
     constexpr uint64_t smallestBurden = 4 * 1024;
     constexpr Duration burdenGrace = milliseconds(500);
     constexpr Instant::rep noLimit = std::numeric_limits<Instant::rep>::max();
--- a/src/placement/CostModel.cpp
+++ b/src/placement/CostModel.cpp
@@ -10,14 +10,14 @@
 
     // Weight of a new cost in the averages; a new key averages evenly until this weight is reached.
     constexpr double costWeight = 0.05;
-    // Samples from which a body class is believed, and a route in place of its service.
+    // Samples from which the average of a body class is used, and that of a route in place of its service.
     constexpr double samplesNeeded = 8;
     // Deviations above the mean that few requests exceed.
     constexpr double tailDeviations = 2;
     // Cost keys that a node keeps; further ones are covered by their route and service.
     constexpr size_t costKeysKept = 4096;
     // Time constants of a server's speed: of its averages, which a server that slows down for seconds must move, and
-    // after which what was recorded is no longer believed.
+    // after which what was recorded has lost its weight.
     constexpr double speedTimeConstant = 1.0;
     constexpr double speedMemory = 5.0;
     // Speeds are bounded: beyond that, a server has other troubles.
