--- a/src/buffers/Buffers.h
+++ b/src/buffers/Buffers.h
@@ -1,6 +1,6 @@
-/// A bound on the heads and bodies that a node holds for others, whoever sends them and however slowly they are taken.
+/// A bound on the heads and bodies that a node holds for others.
 ///
-/// Only accounts: what is refused or closed when the bound is reached is decided by those who hold the bytes.
+/// Accounting only: the owners of the bytes decide what is refused or closed when the bound is reached.
 #pragma once
 
 #include "core/Core.h"
--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -120,9 +120,11 @@
 
 BOOST_AUTO_TEST_CASE(ThenTheyAreEndedAndAnotherIsServed)
 {
-    // Half of it is for callers: room for two heads of this length.
+    // Half of it is for callers: room for two of the stalled heads, and for no further head of half their length.
     constexpr uint64_t total = 128 * 1024;
-    const std::string line = "Long: " + std::string(12'000, 'x');
+    constexpr uint64_t heldByStalled = 56'000;
+    const std::string stalledLine = "Long: " + std::string(15'000, 'x');
+    const std::string line = "Long: " + std::string(7'500, 'x');
     BufferBudget budget(total);
     HttpLimits limits;
     limits.headTimeout = seconds(60);
@@ -130,10 +132,13 @@
     const Served served(limits);
     std::array<Caller, 2> stalled { Caller(served), Caller(served) };
     for (auto& caller : stalled)
-        caller.write("GET /stalled HTTP/1.1\r\nHost: a\r\n" + line);
+        caller.write("GET /stalled HTTP/1.1\r\nHost: a\r\n" + stalledLine);
+    const auto end = BootClock::now() + seconds(20);
+    while (budget.held(BufferSide::Callers) < heldByStalled && BootClock::now() < end)
+        stalled.front().awaitReply(milliseconds(10));
+    BOOST_REQUIRE(budget.held(BufferSide::Callers) >= heldByStalled);
     std::string reply;
-    for (const auto end = BootClock::now() + seconds(20);
-         BootClock::now() < end && !reply.starts_with("HTTP/1.1 200");) {
+    while (BootClock::now() < end && !reply.starts_with("HTTP/1.1 200")) {
         Caller other(served);
         other.write("GET /other HTTP/1.1\r\nHost: a\r\n" + line + "\r\n\r\n");
         reply = other.readUntil("\r\n\r\n");
