Keep a share of a short grace for the exit

Callers saw the connection of a request end without a response during a planned stop with a grace below 4.8 s, although its backend server was about to answer before the last sixth of the grace. Drain kept a fixed 0.8 s for the exit, and no less than half of the grace; its last messages took 0.3 s whatever the grace, so the process was killed while it left.

The reserve is now two fifteenths of the grace, at most 0.8 s: always less than a sixth. Nothing changes from 6 s on.

--- a/src/drain/Drain.cpp
+++ b/src/drain/Drain.cpp
@@ -11,9 +11,22 @@
     constexpr Duration announcementTime = milliseconds(2500);
     // Minimum time for sending the last messages.
     constexpr Duration minimumLeavingTime = milliseconds(300);
-    // Part of the grace that is kept for the end of the process: the last messages, and a late event loop. It is
-    // shorter than the last sixth of a grace of 6 s, up to which running requests must be waited for.
+    // Part of the grace that is kept for the end of the process: the last messages, and a late event loop. Running
+    // requests must be waited for up to the last sixth of the grace, so a short grace keeps a smaller part.
     constexpr Duration reservedForExit = milliseconds(800);
+    constexpr int reservedShareNumerator = 2;
+    constexpr int reservedShareDenominator = 15;
+
+    Duration reservedOf(Duration grace)
+    {
+        return std::min(reservedForExit, grace * reservedShareNumerator / reservedShareDenominator);
+    }
+
+    // The last messages take no more than half of what is kept for the exit.
+    Duration leavingTimeWithin(Duration grace)
+    {
+        return grace > Duration(0) ? std::min(minimumLeavingTime, reservedOf(grace) / 2) : minimumLeavingTime;
+    }
 
     // A grace too short for the whole announcement is shared evenly with the requests that run.
     Duration announcementTimeWithin(Duration grace)
@@ -24,8 +37,7 @@
     Duration limitOf(const StopLimits& limits)
     {
         const auto limit = announcementTimeWithin(limits.grace) + limits.drain;
-        return limits.grace > Duration(0) ? std::min(limit, std::max(limits.grace / 2, limits.grace - reservedForExit))
-                                          : limit;
+        return limits.grace > Duration(0) ? std::min(limit, limits.grace - reservedOf(limits.grace)) : limit;
     }
 
     constexpr std::array<std::string_view, stopStepCount> stepNames { "node-draining", "node-refuses-new-work",
@@ -40,6 +52,7 @@
     , m_clock(clock)
     , m_announcementTime(announcementTimeWithin(limits.grace))
     , m_limit(limitOf(limits))
+    , m_leavingTime(leavingTimeWithin(limits.grace))
 {
 }
 
@@ -80,7 +93,7 @@
 bool Drain::hasLeft(const OpenWork& open) const
 {
     const bool isDone = !open.unsent && !open.connections;
-    return m_clock.now() - m_stepStartedAt >= minimumLeavingTime && (isDone || isPastLimit());
+    return m_clock.now() - m_stepStartedAt >= m_leavingTime && (isDone || isPastLimit());
 }
 
 bool Drain::hasAnsweredAll(const OpenWork& open) const
--- a/src/drain/Drain.h
+++ b/src/drain/Drain.h
@@ -69,6 +69,8 @@
     const Duration m_announcementTime;
     /// From the signal on.
     const Duration m_limit;
+    /// Minimum length of the step Leaving.
+    const Duration m_leavingTime;
     StopStep m_step { StopStep::Announcing };
     Instant m_startedAt;
     Instant m_stepStartedAt;
--- a/tests/DrainTests.cpp
+++ b/tests/DrainTests.cpp
@@ -87,6 +87,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against requests that a stop with a short grace cuts although their backend server would have answered them
+// before the last sixth of it, and against a process that is killed before it has left.
+BOOST_AUTO_TEST_SUITE(WhenARequestOutlastsAnyGrace)
+
+BOOST_AUTO_TEST_CASE(ThenItIsAwaitedUpToTheLastSixthAndTheProcessEndsInTime)
+{
+    for (const Duration grace : { Duration(seconds(1)), Duration(seconds(2)), Duration(seconds(3)),
+             Duration(seconds(5)), Duration(seconds(6)), Duration(seconds(10)), Duration(seconds(30)) }) {
+        BOOST_TEST_CONTEXT("grace of " << inMilliseconds(grace) << " ms")
+        {
+            StoppingNode node(grace);
+            node.addAttempt();
+            node.addEntry();
+            node.open.connections = 1;
+            Duration passed(0);
+            Duration awaited(0);
+            for (auto step = StopStep::Announcing; step != StopStep::Ended && passed < 2 * grace;
+                 passed += checkInterval) {
+                step = node.nextAfter(checkInterval);
+                if (step < StopStep::Leaving)
+                    awaited = passed + checkInterval;
+            }
+            BOOST_TEST(inMilliseconds(awaited) + inMilliseconds(4 * checkInterval) >= inMilliseconds(grace * 5 / 6));
+            BOOST_TEST(inMilliseconds(passed) <= inMilliseconds(grace));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenNoRequestIsKnownButAConnectionMayStillBringOne)
 
 BOOST_AUTO_TEST_CASE(ThenItDoesNotLeave)
