--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <map>
 #include <rapidcheck.h>
 #include <unistd.h>
 
@@ -407,6 +409,58 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+// The template of the settings with each field filled in as the platform does.
+std::string filledTemplate()
+{
+    std::ifstream file(std::string(VANILLARIDGE_EXAMPLES) + "/../platform/node.toml.in");
+    std::string text { std::istreambuf_iterator<char>(file), {} };
+    const std::map<std::string_view, std::string_view> fields { { "ip", "10.1.0.26" }, { "internal-ports.0", "7000" },
+        { "listen-addrs.outbound", "10.1.0.26:8548" }, { "listen-addrs.control", "10.1.0.26:8540" },
+        { "listen-addrs.ready", "10.1.0.26:8546" }, { "zone", "zone-a" }, { "service", "orders" },
+        { "heartbeat-ms", "1500" }, { "platform.address", "10.200.1.7:8545" } };
+    for (auto start = text.find("{{"); start != std::string::npos; start = text.find("{{", start)) {
+        const auto end = text.find("}}", start);
+        const auto value = fields.at(text.substr(start + 2, end - start - 2));
+        text.replace(start, end + 2 - start, value);
+    }
+    return text;
+}
+
+} // namespace
+
+// Guards against a node that goes on with requests until it is killed, where the role's environment is left out.
+BOOST_AUTO_TEST_SUITE(GivenTheTemplateOfTheSettings)
+
+BOOST_AUTO_TEST_SUITE(WhenTheEnvironmentTellsNoGrace)
+
+BOOST_AUTO_TEST_CASE(ThenAStopStillKeepsWithinTheUsualOne)
+{
+    const auto settings = checkSettings(filledTemplate(), "node.toml");
+    BOOST_REQUIRE(bool(settings));
+    BOOST_TEST((settings.value().limits.stopGrace == seconds(6)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheEnvironmentTellsAnother)
+
+BOOST_AUTO_TEST_CASE(ThenThatCounts)
+{
+    const auto filled = checkSettings(filledTemplate(), "node.toml");
+    BOOST_REQUIRE(bool(filled));
+    auto settings = filled.value();
+    const auto problems = applyEnvironment(settings,
+        [](std::string_view name) -> std::string { return name == "VANILLARIDGE_BOUNDS" ? "grace-s=10" : ""; });
+    BOOST_TEST(problems.empty());
+    BOOST_TEST((settings.limits.stopGrace == seconds(10)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a node that does not start, or runs without bounds, where the platform leaves a field out.
 BOOST_AUTO_TEST_SUITE(GivenTheEnvironmentOfARole)
 
