Keep departures with other members while the store is away

Callers' requests reached a backend server that had left, over drain-ms after its node had acknowledged that: the node was killed while the store was still away, and its next process took the server up again by a late heartbeat. A departure was acknowledged after 0.5 s whether or not anything but the memory of the process had it.

Two other members keep each departure and send it to the node's next process, which writes it to the store. A departure that neither the store nor a member has is not acknowledged; it takes effect all the same. No further calls to the store; two datagrams and their answers for each departure.

--- a/src/announcement/Announcement.cpp
+++ b/src/announcement/Announcement.cpp
@@ -74,6 +74,7 @@
             return;
         const auto life = news.life ? news.life : toldLife(news.instance);
         board.departures().update(stableHash(news.instance), [&](DepartureRecord& departure) {
+            departure.witnessed = departure.witnessed && life <= departure.life;
             departure.life = std::max(departure.life, life);
             departure.notedAt = clock.now();
         });
--- a/src/board/Board.cpp
+++ b/src/board/Board.cpp
@@ -60,6 +60,7 @@
     Sharded<ServiceName, ServerGroup> servers;
     Sharded<ServiceName, LocalServerRecord> localServers;
     Sharded<uint64_t, DepartureRecord> departures;
+    Sharded<uint64_t, WitnessRecord> witnessed;
     Sharded<CostKey, CostRecord> costs;
     Sharded<FlowKey, ShedRecord> shedRecords;
     Sharded<RouteName, RouteCallsRecord> routeCalls;
@@ -94,6 +95,7 @@
 Sharded<ServiceName, LocalServerRecord>& Board::localServers() { return m_facts->localServers; }
 
 Sharded<uint64_t, DepartureRecord>& Board::departures() { return m_facts->departures; }
+Sharded<uint64_t, WitnessRecord>& Board::witnessed() { return m_facts->witnessed; }
 
 Sharded<CostKey, CostRecord>& Board::costs() { return m_facts->costs; }
 
--- a/src/board/Board.h
+++ b/src/board/Board.h
@@ -96,6 +96,8 @@
     Sharded<ServiceName, LocalServerRecord>& localServers();
     /// Backend servers that have left this node, by the stable hash of their own name for themselves.
     Sharded<uint64_t, DepartureRecord>& departures();
+    /// Departures kept for other nodes, by a hash of the node and its process.
+    Sharded<uint64_t, WitnessRecord>& witnessed();
     /// What requests cost at backend servers, learned from their completions.
     Sharded<CostKey, CostRecord>& costs();
     /// Shed levels told by answers, by route and account.
--- a/src/board/Records.h
+++ b/src/board/Records.h
@@ -79,6 +79,19 @@
 struct DepartureRecord {
     uint64_t life { 0 };
     Instant notedAt;
+    /// Whether another member keeps this life's departure, so that it outlasts this process without the store.
+    bool witnessed { false };
+};
+
+/// Departures that this node keeps for an earlier or the present process of another one.
+struct WitnessRecord {
+    Endpoint node;
+    /// The process beside which the backend servers left.
+    BootId boot;
+    std::vector<Departure> departures;
+    Instant notedAt;
+    /// When the node's next process is reminded of them again.
+    Instant nextReminder;
 };
 
 /// Requests that are likely to cost alike. An empty route stands for all requests of the service, class 0 for bodies of
--- a/src/dissemination/Directory.cpp
+++ b/src/dissemination/Directory.cpp
@@ -274,10 +274,22 @@
             });
     }
 
+    // Whether another member keeps each departure that is recent enough for news from before it to come.
+    bool isWitnessed()
+    {
+        const auto now = clock.now();
+        bool all = true;
+        board.departures().forEach([&](uint64_t, const DepartureRecord& departure) {
+            all = all && (departure.witnessed || now - departure.notedAt > settings.lateNewsTerm);
+        });
+        return all;
+    }
+
     // Answers those who have what they wait for, and those that have waited for too long.
     void settleWaiting()
     {
         const auto text = entryText(board, settings.departuresKept);
+        const bool witnessed = isWitnessed();
         std::vector<std::pair<std::function<void(bool)>, bool>> settled;
         {
             const auto now = clock.now();
@@ -288,7 +300,7 @@
                 const bool holds = entry.isForRecall ? recalled.load() : stored;
                 if (!holds && now < entry.deadline)
                     return false;
-                settled.emplace_back(std::move(entry.done), holds);
+                settled.emplace_back(std::move(entry.done), holds || (!entry.isForRecall && witnessed));
                 return true;
             });
         }
--- a/src/dissemination/Dissemination.h
+++ b/src/dissemination/Dissemination.h
@@ -115,6 +115,8 @@
     size_t departuresKept { 8 };
     /// Longest wait for the store before a departure is acknowledged, and for the departures of an earlier process.
     Duration rememberLimit { milliseconds(500) };
+    /// How late news of a backend server may come.
+    Duration lateNewsTerm { seconds(30) };
     Duration recallLimit { seconds(3) };
 };
 
@@ -136,7 +138,8 @@
     void tick();
 
     /// Each calls back once, from any thread, at the latest after rememberLimit and one tick: whether the store has all
-    /// departures of the board, and whether the board has those of this node's earlier process.
+    /// departures of the board, or after that limit other members keep them, and whether the board has those of this
+    /// node's earlier process.
     using Done = std::function<void(bool)>;
     void rememberDepartures(Done);
     void recallDepartures(Done);
--- a/src/messages/Messages.cpp
+++ b/src/messages/Messages.cpp
@@ -9,7 +9,7 @@
     template <typename Message>
     constexpr bool goesAsDatagram
         = std::is_same_v<Message,
-              Probe> || std::is_same_v<Message, ProbeAcknowledgement> || std::is_same_v<Message, MemberDigest> || std::is_same_v<Message, MemberBuckets>;
+              Probe> || std::is_same_v<Message, ProbeAcknowledgement> || std::is_same_v<Message, MemberDigest> || std::is_same_v<Message, MemberBuckets> || std::is_same_v<Message, DepartureNews>;
 
     // Part of a rank by which calls stand above new requests of their rank.
     constexpr double headStartOfCalls = 0.25;
--- a/src/messages/Messages.h
+++ b/src/messages/Messages.h
@@ -332,11 +332,37 @@
     std::vector<std::string> sections;
 };
 
+// --- Departures of backend servers (over UDP) ---------------------------------------------------------------------
+
+/// The latest life of a backend server that has said that it leaves.
+struct Departure {
+    /// Stable hash of its own name for itself.
+    uint64_t server { 0 };
+    uint64_t life { 0 };
+    bool operator==(const Departure&) const = default;
+};
+
+enum class DepartureNewsKind : uint8_t {
+    /// The receiver is to keep departures of backend servers beside the sender.
+    Keep,
+    /// The sender keeps them, or has them back.
+    Kept,
+    /// An earlier process of the receiver had the sender keep them.
+    Recall,
+};
+
+struct DepartureNews {
+    DepartureNewsKind kind { DepartureNewsKind::Keep };
+    /// The run of the node beside which the backend servers left.
+    BootId boot;
+    std::vector<Departure> departures;
+};
+
 // --- All control messages -----------------------------------------------------------------------------------------
 
 /// Messages from controller to controller. Order is part of the protocol: append only.
 using ControlMessage = std::variant<QuotaPull, QuotaGrant, Probe, ProbeAcknowledgement, MemberDigest, MemberBuckets,
-    SectionListRequest, SectionList, SectionRequest, SectionReply, QuotaReturn>;
+    SectionListRequest, SectionList, SectionRequest, SectionReply, QuotaReturn, DepartureNews>;
 
 /// Messages on a connection between two nodes. Order is part of the protocol: append only.
 using StreamMessage = std::variant<Hello, Ready, Ping, Pong, OpenRequest, AnswerHead, Refusal, BodyChunk, BodyCredit,
--- a/src/messages/Size.cpp
+++ b/src/messages/Size.cpp
@@ -25,6 +25,7 @@
     size_t sizeOf(const ServerAnnouncement&);
     size_t sizeOf(const MemberUpdate&);
     size_t sizeOf(const SectionReference&);
+    size_t sizeOf(const Departure&);
 
     template <typename Value> size_t sizeOf(const std::vector<Value>& values)
     {
@@ -85,6 +86,10 @@
 
     size_t sizeOf(const SectionRequest& request) { return sum(request.number, request.hashes); }
 
+    size_t sizeOf(const Departure& departure) { return sum(departure.server, departure.life); }
+
+    size_t sizeOf(const DepartureNews& news) { return sum(news.kind, news.boot, news.departures); }
+
     size_t sizeOf(const SectionReply& reply) { return sum(reply.number, reply.sections); }
 
 } // namespace
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -82,6 +82,7 @@
         log(LogLevel::Warning, "backend-server-had-left", { { "service", service } });
     control.membership.tick();
     control.directory.tick();
+    control.witness.tick();
 
     // 2. What is in force, and how fresh it is.
     control.freshness.tick();
--- a/src/node/GuardFlow.cpp
+++ b/src/node/GuardFlow.cpp
@@ -36,6 +36,7 @@
         void operator()(const SectionList& message) const { control.dissemination.receive(from, message); }
         void operator()(const SectionRequest& message) const { control.dissemination.receive(from, message); }
         void operator()(const SectionReply& message) const { control.dissemination.receive(from, message); }
+        void operator()(const DepartureNews& message) const { control.witness.receive(from, message); }
     };
 
 } // namespace
--- a/src/node/Handlers.cpp
+++ b/src/node/Handlers.cpp
@@ -68,9 +68,9 @@
                 { "life", news.life }, { "sequence", news.sequence } });
     }
 
-    void reportUnstored(const ServerNews& news)
+    void reportUnkept(const ServerNews& news)
     {
-        log(LogLevel::Warning, "departure-not-stored", { { "instance", news.instance }, { "life", news.life } });
+        log(LogLevel::Warning, "departure-not-kept", { { "instance", news.instance }, { "life", news.life } });
     }
 
     using AskDirectory = void (Directory::*)(Directory::Done);
@@ -96,7 +96,8 @@
 } // namespace
 
 // A backend server that has left must not be taken up again by what it said before, not even by the next process of
-// this node: its departure is stored before it is acknowledged, and read before anything is believed.
+// this node: before its departure is acknowledged the store has it, or while the store is away another member, and it
+// is read before anything is believed. Without either it takes effect and is not acknowledged.
 Task<SimpleReply> ServerHandler::answerNews(ServerNews news)
 {
     auto& directory = m_parts.control.directory;
@@ -107,9 +108,11 @@
     }
     auto reply = takeNews(news);
     if (LocalServers::isDeparture(news)) {
-        const bool stored = co_await awaitDirectory(directory, &Directory::rememberDepartures);
-        if (!stored)
-            reportUnstored(news);
+        const bool kept = co_await awaitDirectory(directory, &Directory::rememberDepartures);
+        if (!kept) {
+            reportUnkept(news);
+            co_return textReply(503, "application/json", "{\"problem\":\"departure not kept yet\"}\n");
+        }
     }
     co_return reply;
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -174,6 +174,12 @@
         m_control.membership.onChange([this](std::span<const NodeId>) { m_control.placement.refresh(); });
         m_control.directory.onContacts(
             [this](std::span<const Endpoint> contacts) { m_control.membership.contacts(contacts); });
+        // What a member kept for an earlier process is written to the store, which may lack it. A process that starts
+        // while the store is away may know no other member.
+        m_control.witness.onRecalled([this](const Endpoint& witness) {
+            m_control.membership.contacts(std::span(&witness, 1));
+            m_control.directory.rememberDepartures([](bool) {});
+        });
         m_control.dissemination.onAdopted([](const ConfigurationPointer& configuration) {
             log(LogLevel::Info, "configuration-adopted", { { "number", configuration->number() } });
         });
--- a/src/node/Parts.cpp
+++ b/src/node/Parts.cpp
@@ -29,6 +29,7 @@
     : localServers(board, clock)
     , membership(board, clock, random, settings.membership)
     , directory(board, clock, random, objects, {})
+    , witness(board, clock, random, {})
     , dissemination(board, clock, random, objects, codec, { .manifestObject = manifestObject })
     , freshness(board, clock, {})
     , intake(board, clock)
--- a/src/node/Parts.h
+++ b/src/node/Parts.h
@@ -19,6 +19,7 @@
 #include "retry/Retry.h"
 #include "settings/Settings.h"
 #include "verdict/Verdict.h"
+#include "witness/Witness.h"
 
 namespace Vanillaridge {
 
@@ -55,6 +56,7 @@
     LocalServers localServers;
     Membership membership;
     Directory directory;
+    Witness witness;
     Dissemination dissemination;
     Freshness freshness;
     Intake intake;
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -12,6 +12,10 @@
 {
     return RangedEnumeration<VerdictKind> { value, static_cast<uint8_t>(VerdictKind::Unknown) + 1 };
 }
+inline auto ranged(DepartureNewsKind& value)
+{
+    return RangedEnumeration<DepartureNewsKind> { value, static_cast<uint8_t>(DepartureNewsKind::Recall) + 1 };
+}
 inline auto ranged(MemberState& value)
 {
     return RangedEnumeration<MemberState> { value, static_cast<uint8_t>(MemberState::Dead) + 1 };
@@ -150,6 +154,18 @@
     archive(pull, account, slot, total);
 }
 
+template <typename Archive> void serialize(Archive& archive, Departure& departure)
+{
+    auto& [server, life] = departure;
+    archive(server, life);
+}
+
+template <typename Archive> void serialize(Archive& archive, DepartureNews& message)
+{
+    auto& [kind, boot, departures] = message;
+    archive(ranged(kind), boot, departures);
+}
+
 template <typename Archive> void serialize(Archive& archive, ServerAnnouncement& announcement)
 {
     auto& [service, generation, slots, draining] = announcement;
--- a/tests/DirectoryTests.cpp
+++ b/tests/DirectoryTests.cpp
@@ -1,78 +1,11 @@
-// libraries: dissemination membership
-#include "FakeFleet.h"
-#include "FakeStore.h"
-#include "dissemination/Dissemination.h"
-
-#include <boost/test/unit_test.hpp>
+// libraries: dissemination membership witness
+#include "DirectoryWorld.h"
 
 using namespace Vanillaridge;
 
 namespace {
 
-constexpr uint64_t seed = 20260401;
-constexpr Duration minute = std::chrono::minutes(1);
-
-// A fleet whose members know no contacts but those in the store's entries.
-struct Story {
-    Story()
-        : fleet(seed)
-        , random(makeSeededRandom(seed + 1))
-    {
-        fleet.contacts.clear();
-        fleet.onStart = [this](FakeMember& member) {
-            auto directory
-                = std::make_unique<Directory>(member.board, fleet.clock, *random, objects, DirectorySettings());
-            directory->onContacts(
-                [&member](std::span<const Endpoint> contacts) { member.membership.contacts(contacts); });
-            directories[member.board.self().endpoint] = std::move(directory);
-        };
-        fleet.onTick = [this](FakeMember& member) { directories.at(member.board.self().endpoint)->tick(); };
-    }
-
-    template <typename Test> bool within(Duration limit, Test test)
-    {
-        for (const auto end = fleet.clock.now() + limit; fleet.clock.now() < end; objects.deliver()) {
-            if (test())
-                return true;
-            fleet.step();
-        }
-        return test();
-    }
-
-    bool entryOf(size_t index)
-    {
-        auto name = "nodes/" + FakeFleet::endpointOf(index);
-        name[name.rfind(':')] = '-';
-        return objects.stored(name).has_value();
-    }
-
-    Directory& directoryOf(size_t index) { return *directories.at(FakeFleet::endpointOf(index)); }
-
-    // Notes a departure and waits for the directory's answer about it.
-    bool remember(size_t index, std::string_view server, uint64_t life)
-    {
-        fleet.at(index).board.departures().update(stableHash(server), [&](DepartureRecord& departure) {
-            departure = { life, fleet.clock.now() };
-        });
-        std::optional<bool> stored;
-        directoryOf(index).rememberDepartures([&](bool answer) { stored = answer; });
-        BOOST_TEST(within(seconds(1), [&] { return stored.has_value(); }));
-        return stored.value_or(false);
-    }
-
-    uint64_t departedLife(size_t index, std::string_view server)
-    {
-        uint64_t life = 0;
-        fleet.at(index).board.departures().visit(
-            stableHash(server), [&](const DepartureRecord& departure) { life = departure.life; });
-        return life;
-    }
-
-    FakeStore objects;
-    FakeFleet fleet;
-    std::unique_ptr<RandomSource> random;
-    std::map<Endpoint, std::unique_ptr<Directory>> directories;
-};
+using Story = DirectoryWorld;
 
 } // namespace
 
@@ -209,9 +142,7 @@
     fleet.startAll(8);
     within(seconds(10), [] { return false; });
     objects.down = true;
-    fleet.at(3).board.departures().update(stableHash("i-1"), [&](DepartureRecord& departure) {
-        departure = { 100, fleet.clock.now() };
-    });
+    noteDeparture(3, "i-1", 100);
     std::optional<bool> stored;
     directoryOf(3).rememberDepartures([&](bool answer) { stored = answer; });
     within(milliseconds(200), [] { return false; });
--- a/tests/WireGenerators.h
+++ b/tests/WireGenerators.h
@@ -52,6 +52,9 @@
     template <> struct Drawn<VerdictKind> {
         static VerdictKind draw() { return static_cast<VerdictKind>(*rc::gen::inRange(0, 3)); }
     };
+    template <> struct Drawn<DepartureNewsKind> {
+        static DepartureNewsKind draw() { return static_cast<DepartureNewsKind>(*rc::gen::inRange(0, 3)); }
+    };
     template <> struct Drawn<MemberState> {
         static MemberState draw() { return static_cast<MemberState>(*rc::gen::inRange(0, 4)); }
     };
