Count connections to backend servers against the descriptors

A node that may use 4,100 descriptors held more while floods of clients followed each other: connections to backend servers had no share of them, so that on a machine that enforces the limit none is left for other nodes and for the store.

They take at most three sixteenths now, idle ones included, which are closed first; then requests are refused unrun.

The check of descriptors in AdmittedFloodTests failed before, in the second and the fourth flood.

--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -40,8 +40,9 @@
 } // namespace
 
 struct BackendPool::Implementation {
-    explicit Implementation(boost::asio::io_context& context)
+    Implementation(boost::asio::io_context& context, size_t most)
         : context(context)
+        , most(most)
     {
     }
 
@@ -52,6 +53,7 @@
         while (!connections.empty()) {
             auto connection = std::move(connections.back());
             connections.pop_back();
+            --idleCount;
             if (connection.isRecent() && connection.isQuiet())
                 return std::move(connection.socket);
         }
@@ -64,19 +66,78 @@
         std::lock_guard guard(lock);
         auto& connections = idle[endpoint];
         while (!connections.empty() && !connections.front().isRecent())
-            connections.pop_front();
-        if (connections.size() < idleConnectionsPerServer)
-            connections.push_back({ std::move(socket), BootClock::now() });
+            dropOldest(connections);
+        if (connections.size() >= idleConnectionsPerServer)
+            return;
+        connections.push_back({ std::move(socket), BootClock::now() });
+        ++idleCount;
+    }
+
+    void dropOldest(std::deque<IdleConnection>& connections)
+    {
+        connections.pop_front();
+        --idleCount;
+    }
+
+    // Counts a connection as in use; false if too many are. Idle ones give way.
+    bool enter()
+    {
+        std::lock_guard guard(lock);
+        if (inUse >= most)
+            return false;
+        for (auto& [endpoint, connections] : idle) {
+            while (inUse + idleCount >= most && !connections.empty())
+                dropOldest(connections);
+        }
+        ++inUse;
+        return true;
+    }
+
+    void leave()
+    {
+        std::lock_guard guard(lock);
+        --inUse;
     }
 
     boost::asio::io_context& context;
+    const size_t most;
     std::mutex lock;
     std::map<Endpoint, std::deque<IdleConnection>> idle;
+    size_t idleCount { 0 };
+    size_t inUse { 0 };
 };
 
+namespace {
+
+    // One of the connections in use, from before it is made until it is idle or closed.
+    class Place {
+    public:
+        explicit Place(std::shared_ptr<BackendPool::Implementation> pool)
+            : m_pool(std::move(pool))
+        {
+            if (!m_pool->enter())
+                m_pool.reset();
+        }
+        ~Place()
+        {
+            if (m_pool)
+                m_pool->leave();
+        }
+        Place(Place&&) = default;
+        Place& operator=(Place&&) = delete;
+
+        explicit operator bool() const { return static_cast<bool>(m_pool); }
+
+    private:
+        std::shared_ptr<BackendPool::Implementation> m_pool;
+    };
+
+} // namespace
+
 struct BackendCall::Implementation {
-    Implementation(std::shared_ptr<BackendPool::Implementation> pool, Endpoint endpoint, TcpSocket socket)
-        : pool(std::move(pool))
+    Implementation(std::shared_ptr<BackendPool::Implementation> pool, Place place, Endpoint endpoint, TcpSocket socket)
+        : place(std::move(place))
+        , pool(std::move(pool))
         , endpoint(std::move(endpoint))
         , socket(std::move(socket))
         , buffer(answerHeadBytes + bodyPieceBytes)
@@ -99,6 +160,7 @@
             pool->keep(endpoint, std::move(socket));
     }
 
+    Place place;
     std::shared_ptr<BackendPool::Implementation> pool;
     Endpoint endpoint;
     TcpSocket socket;
@@ -229,8 +291,8 @@
     m_implementation->socket.close(ignored);
 }
 
-BackendPool::BackendPool(boost::asio::io_context& context)
-    : m_implementation(std::make_shared<Implementation>(context))
+BackendPool::BackendPool(boost::asio::io_context& context, size_t most)
+    : m_implementation(std::make_shared<Implementation>(context, most))
 {
 }
 
@@ -239,9 +301,13 @@
 Task<std::shared_ptr<BackendCall>> BackendPool::connect(Endpoint endpoint, Strand strand, Duration patience)
 {
     // 1. One that answered a moment ago.
-    if (auto idle = m_implementation->take(endpoint)) {
-        co_return std::make_shared<BackendCall>(
-            std::make_unique<BackendCall::Implementation>(m_implementation, endpoint, std::move(*idle)));
+    auto idle = m_implementation->take(endpoint);
+    Place place(m_implementation);
+    if (!place)
+        co_return nullptr;
+    if (idle) {
+        co_return std::make_shared<BackendCall>(std::make_unique<BackendCall::Implementation>(
+            m_implementation, std::move(place), endpoint, std::move(*idle)));
     }
 
     // 2. A new one.
@@ -256,8 +322,8 @@
         co_return nullptr;
     stream.socket().set_option(Tcp::no_delay(true), error);
     stream.expires_never();
-    co_return std::make_shared<BackendCall>(
-        std::make_unique<BackendCall::Implementation>(m_implementation, endpoint, stream.release_socket()));
+    co_return std::make_shared<BackendCall>(std::make_unique<BackendCall::Implementation>(
+        m_implementation, std::move(place), endpoint, stream.release_socket()));
 }
 
 } // namespace Vanillaridge
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -9,6 +9,7 @@
 #include "messages/Messages.h"
 
 #include <boost/asio/io_context.hpp>
+#include <limits>
 
 namespace Vanillaridge {
 
@@ -219,11 +220,12 @@
 class BackendPool {
 public:
     struct Implementation;
-    explicit BackendPool(boost::asio::io_context&);
+    /// \param most connections that are open at once; beyond it idle ones are closed, and then none is made
+    explicit BackendPool(boost::asio::io_context&, size_t most = std::numeric_limits<size_t>::max());
     ~BackendPool();
 
     /// A connection on the given strand: an idle one that answered a moment ago, or a new one. Null when the backend
-    /// server took no connection within the patience: nothing has been sent to it then.
+    /// server took no connection within the patience, or too many are open: nothing has been sent to it then.
     Task<std::shared_ptr<BackendCall>> connect(Endpoint, Strand, Duration patience);
 
 private:
--- a/src/node/Descriptors.cpp
+++ b/src/node/Descriptors.cpp
@@ -10,6 +10,9 @@
 
     constexpr uint64_t callersShare = 2;
     constexpr uint64_t serversShare = 8;
+    // Connections to backend servers get three sixteenths.
+    constexpr uint64_t backendsParts = 3;
+    constexpr uint64_t backendsShare = 16;
     constexpr uint64_t pagesShare = 32;
     // Pages are asked for by a few.
     constexpr uint64_t pagesMost = 64;
@@ -24,7 +27,7 @@
 DescriptorShares shareDescriptors(uint64_t available, size_t wished)
 {
     return { shareOf(available, callersShare, wished), shareOf(available, serversShare, wished),
-        shareOf(available, pagesShare, pagesMost) };
+        shareOf(available, pagesShare, pagesMost), shareOf(available * backendsParts, backendsShare, available) };
 }
 
 uint64_t availableDescriptors(uint32_t fromSettings)
--- a/src/node/Descriptors.h
+++ b/src/node/Descriptors.h
@@ -6,13 +6,15 @@
 
 namespace Vanillaridge {
 
-/// Connections that each address takes at once. The other descriptors, a quarter and more, are for connections to other
-/// nodes, to backend servers and to the store, and for files.
+/// Connections that each address takes at once, and connections to backend servers. The other descriptors, an eighth
+/// and more, are for connections to other nodes and to the store, and for files.
 struct DescriptorShares {
     size_t callers { 0 };
     size_t servers { 0 };
     /// At each of the addresses of operators and of readiness.
     size_t pages { 0 };
+    /// Connections to backend servers, idle ones included.
+    size_t backends { 0 };
 };
 
 /// \param available descriptors that the process may use
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -81,6 +81,7 @@
         void reportStop(std::string_view event, LogLevel = LogLevel::Info);
 
         const Settings& m_settings;
+        const DescriptorShares m_shares;
         boost::asio::io_context m_context;
         SystemClock m_clock;
         std::unique_ptr<RandomSource> m_random;
@@ -100,7 +101,6 @@
         ServerHandler m_serverHandler;
         OperatorHandler m_operatorHandler;
         ReadinessHandler m_readinessHandler;
-        const DescriptorShares m_shares;
         HttpServer m_callers;
         HttpServer m_servers;
         HttpServer m_operators;
@@ -114,6 +114,7 @@
 
     Node::Node(const Settings& settings, const Integration& integration, std::function<SettingsResult()> reload)
         : m_settings(settings)
+        , m_shares(shareDescriptors(availableDescriptors(settings.limits.descriptors), settings.limits.connections))
         , m_context(static_cast<int>(settings.threads))
         , m_random(makeSystemRandom())
         , m_board(identityOf(settings, *m_random))
@@ -121,7 +122,7 @@
         , m_manifestReader(integration.readManifest)
         , m_control(m_board, m_clock, *m_random, *m_store, m_manifestReader, settings,
               std::string(integration.manifestObject))
-        , m_backends(m_context)
+        , m_backends(m_context, m_shares.backends)
         , m_buffers(bufferTotal(settings.limits.memory))
         , m_loopLag(m_context, m_board)
         , m_guardFlow(m_parts)
@@ -133,7 +134,6 @@
         , m_serverHandler(m_parts, m_entryFlow)
         , m_operatorHandler(m_parts)
         , m_readinessHandler(m_parts)
-        , m_shares(shareDescriptors(availableDescriptors(settings.limits.descriptors), settings.limits.connections))
         , m_callers(m_context, httpLimits(settings.limits, m_shares.callers, &m_buffers, BufferSide::Callers),
               m_callerHandler)
         , m_servers(m_context, httpLimits(settings.limits, m_shares.servers, &m_buffers, BufferSide::Servers),
@@ -201,7 +201,7 @@
         log(LogLevel::Info, "node-started",
             { { "peers", m_settings.addresses.peers }, { "callers", m_settings.addresses.callers },
                 { "zone", m_settings.zone }, { "caller-connections", m_shares.callers },
-                { "server-connections", m_shares.servers } });
+                { "server-connections", m_shares.servers }, { "backend-connections", m_shares.backends } });
         std::vector<std::thread> threads;
         for (uint32_t i = 1; i < m_settings.threads; ++i)
             threads.emplace_back([this] { m_context.run(); });
