Assume a small instance where nothing tells the memory

Clients outside the limits ended a process: without limits.memory the bound on heads and bodies was a fifth of the machine's memory, while the platform ends a process at 160 to 512 MB.

Without a setting 160 MB are assumed. The process's own limits and the machine's memory lower either figure, and the line node-started tells the bound and what it follows from.

--- a/src/buffers/Buffers.cpp
+++ b/src/buffers/Buffers.cpp
@@ -111,19 +111,44 @@
     m_bytes.store(bytes, std::memory_order_relaxed);
 }
 
-uint64_t instanceMemory(uint64_t memory)
+namespace {
+
+    struct ProcessLimit {
+        decltype(RLIMIT_AS) resource;
+        MemorySource source;
+    };
+    constexpr std::array<ProcessLimit, 2> processLimits { {
+        { RLIMIT_AS, MemorySource::AddressSpaceLimit },
+        { RLIMIT_DATA, MemorySource::DataLimit },
+    } };
+
+    constexpr std::array<std::string_view, 5> memorySourceNames { "setting", "default", "address-space-limit",
+        "data-limit", "machine" };
+
+} // namespace
+
+std::string_view toText(MemorySource source) { return memorySourceNames[static_cast<size_t>(source)]; }
+
+MemoryBound instanceMemory(uint64_t setting)
 {
-    if (memory)
-        return memory;
-    uint64_t least = static_cast<uint64_t>(sysconf(_SC_PHYS_PAGES)) * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
-    for (const auto resource : { RLIMIT_AS, RLIMIT_DATA }) {
+    auto bound = setting ? MemoryBound { setting, MemorySource::Setting }
+                         : MemoryBound { defaultInstanceMemory, MemorySource::Default };
+    const auto lower = [&](uint64_t bytes, MemorySource source) {
+        if (bytes < bound.bytes)
+            bound = { bytes, source };
+    };
+    for (const auto& [resource, source] : processLimits) {
         rlimit limit {};
         if (getrlimit(resource, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
-            least = std::min<uint64_t>(least, limit.rlim_cur);
+            lower(limit.rlim_cur, source);
     }
-    return least;
+    const auto pages = sysconf(_SC_PHYS_PAGES);
+    const auto pageBytes = sysconf(_SC_PAGESIZE);
+    if (pages > 0 && pageBytes > 0)
+        lower(static_cast<uint64_t>(pages) * static_cast<uint64_t>(pageBytes), MemorySource::Machine);
+    return bound;
 }
 
-uint64_t bufferTotal(uint64_t memory) { return instanceMemory(memory) / memoryShare; }
+uint64_t bufferTotal(const MemoryBound& memory) { return memory.bytes / memoryShare; }
 
 } // namespace Vanillaridge
--- a/src/buffers/Buffers.h
+++ b/src/buffers/Buffers.h
@@ -71,10 +71,30 @@
     std::atomic<uint64_t> m_bytes { 0 };
 };
 
+/// Memory of an instance that does not say how much it has, in bytes: that of a small one, since the memory of the
+/// machine says little about when a process on it is ended.
+constexpr uint64_t defaultInstanceMemory = 160'000'000;
+
+/// What a bound on the process's memory follows from.
+enum class MemorySource : uint8_t {
+    Setting,
+    /// Nothing is set.
+    Default,
+    /// Limits of the process on its address space and on its data.
+    AddressSpaceLimit,
+    DataLimit,
+    Machine,
+};
+std::string_view toText(MemorySource);
+
+struct MemoryBound {
+    uint64_t bytes { 0 };
+    MemorySource source { MemorySource::Default };
+};
+
+/// The least of the setting, or the default where that is 0, the limits of the process, and the machine's memory.
+MemoryBound instanceMemory(uint64_t setting);
 /// The part of an instance's memory that heads and bodies may take up, in bytes.
-/// \param memory of the instance; 0 for the process's own limit, or the machine's memory where it has none
-uint64_t bufferTotal(uint64_t memory);
-/// The memory of the instance, with the same meaning of 0.
-uint64_t instanceMemory(uint64_t memory);
+uint64_t bufferTotal(const MemoryBound&);
 
 } // namespace Vanillaridge
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -30,21 +30,20 @@
     constexpr uint64_t connectionBytes = 8 * 1024;
     constexpr uint64_t connectionShare = 4;
 
-    size_t connectionsWithin(uint64_t memory, size_t wished)
+    size_t connectionsWithin(const MemoryBound& memory, size_t wished)
     {
-        return static_cast<size_t>(
-            std::clamp<uint64_t>(instanceMemory(memory) / connectionShare / connectionBytes, 1, wished));
+        return static_cast<size_t>(std::clamp<uint64_t>(memory.bytes / connectionShare / connectionBytes, 1, wished));
     }
 
-    HttpLimits httpLimits(
-        const LimitSettings& settings, size_t connections, BufferBudget* budget = nullptr, BufferSide side = {})
+    HttpLimits httpLimits(const LimitSettings& settings, const MemoryBound& memory, size_t connections,
+        BufferBudget* budget = nullptr, BufferSide side = {})
     {
         HttpLimits limits;
         limits.headBytes = static_cast<uint32_t>(settings.headSize);
         limits.headTimeout = settings.headTimeout;
         limits.pieceTimeout = settings.bodyTimeout;
         limits.idleTimeout = settings.idleTimeout;
-        limits.connections = connectionsWithin(settings.memory, connections);
+        limits.connections = connectionsWithin(memory, connections);
         limits.budget = budget;
         limits.side = side;
         return limits;
@@ -81,6 +80,7 @@
         void reportStop(std::string_view event, LogLevel = LogLevel::Info);
 
         const Settings& m_settings;
+        const MemoryBound m_memory;
         const DescriptorShares m_shares;
         boost::asio::io_context m_context;
         SystemClock m_clock;
@@ -114,6 +114,7 @@
 
     Node::Node(const Settings& settings, const Integration& integration, std::function<SettingsResult()> reload)
         : m_settings(settings)
+        , m_memory(instanceMemory(settings.limits.memory))
         , m_shares(shareDescriptors(availableDescriptors(settings.limits.descriptors), settings.limits.connections))
         , m_context(static_cast<int>(settings.threads))
         , m_random(makeSystemRandom())
@@ -123,7 +124,7 @@
         , m_control(m_board, m_clock, *m_random, *m_store, m_manifestReader, settings,
               std::string(integration.manifestObject))
         , m_backends(m_context, m_shares.backends)
-        , m_buffers(bufferTotal(settings.limits.memory))
+        , m_buffers(bufferTotal(m_memory))
         , m_loopLag(m_context, m_board)
         , m_guardFlow(m_parts)
         , m_peers(m_context, m_board, m_clock, *m_random, settings.secret.reveal(), m_guardFlow)
@@ -134,12 +135,12 @@
         , m_serverHandler(m_parts, m_entryFlow)
         , m_operatorHandler(m_parts)
         , m_readinessHandler(m_parts)
-        , m_callers(m_context, httpLimits(settings.limits, m_shares.callers, &m_buffers, BufferSide::Callers),
+        , m_callers(m_context, httpLimits(settings.limits, m_memory, m_shares.callers, &m_buffers, BufferSide::Callers),
               m_callerHandler)
-        , m_servers(m_context, httpLimits(settings.limits, m_shares.servers, &m_buffers, BufferSide::Servers),
+        , m_servers(m_context, httpLimits(settings.limits, m_memory, m_shares.servers, &m_buffers, BufferSide::Servers),
               m_serverHandler)
-        , m_operators(m_context, httpLimits(settings.limits, m_shares.pages), m_operatorHandler)
-        , m_readiness(m_context, httpLimits(settings.limits, m_shares.pages), m_readinessHandler)
+        , m_operators(m_context, httpLimits(settings.limits, m_memory, m_shares.pages), m_operatorHandler)
+        , m_readiness(m_context, httpLimits(settings.limits, m_memory, m_shares.pages), m_readinessHandler)
         , m_duties(m_parts)
         , m_drain(m_board, m_clock, { settings.limits.drainLimit, settings.limits.stopGrace })
         , m_signals(m_context, SIGTERM, SIGINT)
@@ -201,7 +202,9 @@
         log(LogLevel::Info, "node-started",
             { { "peers", m_settings.addresses.peers }, { "callers", m_settings.addresses.callers },
                 { "zone", m_settings.zone }, { "caller-connections", m_shares.callers },
-                { "server-connections", m_shares.servers }, { "backend-connections", m_shares.backends } });
+                { "server-connections", m_shares.servers }, { "backend-connections", m_shares.backends },
+                { "memory-bytes", m_memory.bytes }, { "memory-from", toText(m_memory.source) },
+                { "buffer-bytes", bufferTotal(m_memory) } });
         std::vector<std::thread> threads;
         for (uint32_t i = 1; i < m_settings.threads; ++i)
             threads.emplace_back([this] { m_context.run(); });
