Free all that is held beyond the bound at once

1,500 callers that did not read large answers brought a node to 125 MB although 16 MB were allowed for callers: answers are taken in any case, and only a quarter of the part was freed four times a second.

While more is held than there is room for, all of the excess is freed, every 20 ms.

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -10,9 +10,8 @@
     constexpr size_t lingerBytes = 256 * 1024;
     // The buffer of a connection between exchanges.
     constexpr size_t idleBufferBytes = 4 * 1024;
-    // Ending a connection that holds no more frees too little, and each is given some time to move what it holds.
+    // Ending a connection that holds no more frees too little.
     constexpr uint64_t smallestBurden = 4 * 1024;
-    constexpr Duration burdenGrace = milliseconds(500);
     constexpr Instant::rep noLimit = std::numeric_limits<Instant::rep>::max();
 
 } // namespace
@@ -64,11 +63,11 @@
     expire();
 }
 
-std::optional<double> HttpConnection::burden(Instant now) const
+std::optional<double> HttpConnection::burden(Instant now, Duration grace) const
 {
     const auto held = m_hold.bytes();
     const auto age = now - Instant(Duration(m_heldSince.load()));
-    if (held <= smallestBurden || age < burdenGrace || !isWaitedFor())
+    if (held <= smallestBurden || age < grace || !isWaitedFor())
         return std::nullopt;
     return double(held) * inSeconds(age) / double(m_moved.load(std::memory_order_relaxed) + 1);
 }
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -33,8 +33,8 @@
     void beginHead() { wait(Wait::Head); }
     void endHead() { wait(Wait::Nothing); }
     /// How much it holds for how little its caller has moved while it is waited for, in bytes times seconds; nothing
-    /// while it waits for nothing of its caller, holds next to nothing, or has held it for a short time only.
-    std::optional<double> burden(Instant now) const;
+    /// while it waits for nothing of its caller, holds next to nothing, or has held it for no longer than the grace.
+    std::optional<double> burden(Instant now, Duration grace) const;
     /// Bytes that its caller has sent or taken.
     void noteMoved(size_t bytes) { m_moved.fetch_add(bytes, std::memory_order_relaxed); }
     /// Counts the bytes kept for the exchange beside the buffer.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -25,6 +25,10 @@
     // side's part that is freed each time.
     constexpr Duration freeingPeriod = milliseconds(20);
     constexpr uint64_t freedShare = 4;
+    // Time that each connection is given to move what it holds; the second where more is held than there is room for,
+    // since answers are taken in any case.
+    constexpr Duration burdenGrace = milliseconds(500);
+    constexpr Duration burdenGraceBeyondLimit = milliseconds(100);
 
     // A status that never has a body, whatever the headers say.
     bool isBodiless(uint16_t status) { return status == 204 || status == 304 || status < 200; }
@@ -249,6 +253,7 @@
     bool makeRoom();
     void freeBuffers();
     bool isShortOfBuffers() const { return limits.budget && limits.budget->isShort(limits.side); }
+    uint64_t bytesBeyondLimit() const;
     Task<void> sweep();
     void endLateSteps();
     Task<void> serve(std::shared_ptr<HttpConnection>);
@@ -369,12 +374,25 @@
     return closed > 0;
 }
 
+// What answers have taken beyond this side's part.
+uint64_t HttpServer::Implementation::bytesBeyondLimit() const
+{
+    if (!limits.budget)
+        return 0;
+    const auto limit = limits.budget->limit(limits.side);
+    const auto held = limits.budget->held(limits.side);
+    return held - std::min(held, limit);
+}
+
 // Ends the connections that burden this server most: those that hold much, have held it for long, and whose callers
 // have moved little. So many that a quarter of this side's part is free again.
 void HttpServer::Implementation::freeBuffers()
 {
     using Burdened = std::pair<double, std::shared_ptr<HttpConnection>>;
     const auto now = BootClock::now();
+    const auto beyondLimit = bytesBeyondLimit();
+    const auto grace = beyondLimit ? burdenGraceBeyondLimit : burdenGrace;
+    const auto wanted = beyondLimit + limits.budget->limit(limits.side) / freedShare;
     std::vector<Burdened> burdened;
     {
         std::lock_guard guard(lock);
@@ -382,7 +400,7 @@
             return;
         nextFreeing = now + freeingPeriod;
         for (const auto& connection : connections) {
-            if (const auto burden = connection->burden(now))
+            if (const auto burden = connection->burden(now, grace))
                 burdened.emplace_back(*burden, connection);
         }
     }
@@ -390,7 +408,7 @@
     uint64_t freed = 0;
     size_t ended = 0;
     for (const auto& [burden, connection] : burdened) {
-        if (freed >= limits.budget->limit(limits.side) / freedShare)
+        if (freed >= wanted)
             break;
         freed += connection->heldBytes();
         ++ended;
@@ -424,7 +442,7 @@
     const auto self = shared_from_this();
     ErrorCode error;
     while (!error && (!draining || count())) {
-        sweepTimer.expires_after(sweepPeriod);
+        sweepTimer.expires_after(bytesBeyondLimit() ? freeingPeriod : sweepPeriod);
         co_await sweepTimer.async_wait(redirect_error(useAwaitable, error));
         endLateSteps();
         if (isShortOfBuffers())
--- a/tests/HttpServed.h
+++ b/tests/HttpServed.h
@@ -15,6 +15,9 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+// Bytes that are held for a request for "/held", whatever room there is for them.
+constexpr uint64_t forcedBytes = 64 * 1024;
+
 // Answers each request with its own body or target; "/wait" is answered once its caller has left, to nobody.
 class Echo final : public HttpHandler {
 public:
@@ -24,6 +27,8 @@
             co_await awaitLeaving(exchange);
             co_return;
         }
+        if (exchange->head().target == "/held")
+            exchange->forceBuffers(forcedBytes);
         std::string body = exchange->head().target;
         BodyEnd end = exchange->head().hasBody ? BodyEnd::More : BodyEnd::Last;
         while (end == BodyEnd::More) {
--- a/tests/HttpTests.cpp
+++ b/tests/HttpTests.cpp
@@ -150,6 +150,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a process that grows beyond its bound since what has to be taken comes faster than it is freed.
+BOOST_AUTO_TEST_SUITE(WhenFarMoreIsHeldThanThereIsRoomFor)
+
+BOOST_AUTO_TEST_CASE(ThenAllThatIsTooMuchIsFreedAtOnce)
+{
+    // Half of it is for callers. A quarter of that, freed four times a second, would take 25 s for all callers.
+    constexpr uint64_t total = 1 << 20;
+    constexpr size_t callerCount = 200;
+    BufferBudget budget(total);
+    HttpLimits limits;
+    limits.pieceTimeout = seconds(60);
+    limits.budget = &budget;
+    const Served served(limits);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (size_t i = 0; i < callerCount; ++i) {
+        callers.push_back(std::make_unique<Caller>(served));
+        callers.back()->write("POST /held HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhello");
+    }
+    const auto limit = budget.limit(BufferSide::Callers);
+    const auto end = BootClock::now() + seconds(5);
+    uint64_t most = 0;
+    while ((most <= limit || budget.held(BufferSide::Callers) > limit) && BootClock::now() < end) {
+        most = std::max(most, budget.held(BufferSide::Callers));
+        callers.back()->awaitReply(milliseconds(10));
+    }
+    BOOST_TEST(most > limit);
+    BOOST_TEST(budget.held(BufferSide::Callers) <= limit);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenItIsDrained)
 
 BOOST_AUTO_TEST_CASE(ThenAConnectionThatWaitsForARequestEndsAtOnce)
