Let bodies wait while much is to be written to another node

Callers that do not read large answers brought a guard to 163 MB, bound 160 MB: each stream may send 64 KiB ahead, and the connection that carries all of them buffered whatever it was given.

Pieces of bodies wait now while 512 KiB are to be written; other messages do not.

AdmittedFloodTests, ThenEntryAndGuardStayWithinTheSmallestInstanceAndServe, failed before and passes: 69 MB at the guard.

--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -20,6 +20,8 @@
 namespace {
 
     constexpr size_t readBytes = 16 * 1024;
+    // Bytes that wait to be written from which on pieces of bodies wait for their turn.
+    constexpr size_t mostUnwrittenBytes = 512 * 1024;
     constexpr Duration watchPeriod = milliseconds(250);
 
     Nonce freshNonce(RandomSource& random)
@@ -54,6 +56,8 @@
         const Hello& peer() const override { return m_connection->peer(); }
 
     private:
+        Task<bool> awaitRoom() override { return m_connection->awaitRoom(); }
+
         std::shared_ptr<Connection> m_connection;
         uint64_t m_number;
     };
@@ -296,6 +300,7 @@
     for (const auto& [number, stream] : streams)
         stream->lose();
     wake(std::move(waiters));
+    wake(takeRoomWaiters());
     m_watchTimer.cancel();
     ErrorCode ignored;
     m_socket.close(ignored);
@@ -602,6 +607,28 @@
     return true;
 }
 
+Task<bool> Connection::awaitRoom()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        std::shared_ptr<Waiter> waiter;
+        {
+            std::lock_guard guard(m_writeLock);
+            if (!isOpen() || m_pending.size() < mostUnwrittenBytes)
+                co_return isOpen();
+            waiter = std::make_shared<Waiter>();
+            m_roomWaiters.push_back(waiter);
+        }
+        co_await waiter->wait();
+    }
+}
+
+std::vector<std::shared_ptr<Connection::Waiter>> Connection::takeRoomWaiters()
+{
+    std::lock_guard guard(m_writeLock);
+    return std::exchange(m_roomWaiters, {});
+}
+
 bool Connection::hasUnsent()
 {
     std::lock_guard guard(m_writeLock);
@@ -620,6 +647,7 @@
             return;
         }
     }
+    wake(takeRoomWaiters());
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
         boost::asio::bind_executor(m_strand, [self = shared_from_this()](const ErrorCode& error, size_t) {
             if (error)
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -60,6 +60,8 @@
     bool lost() const { return m_state.load() == State::Lost; }
     /// Whether messages wait to be written.
     bool hasUnsent();
+    /// Waits until so little is to be written that a piece of a body may be added; false once the connection is lost.
+    Task<bool> awaitRoom();
     /// Only once the connection has been ready.
     const Hello& peer() const { return m_session->peer(); }
     /// Whether this connection leads to an earlier process at the other's endpoint, or to a machine that had the
@@ -106,6 +108,7 @@
     void becomeLost(std::string_view why);
     void reportLost(std::string_view why) const;
     void wake(std::vector<std::shared_ptr<Waiter>>);
+    std::vector<std::shared_ptr<Waiter>> takeRoomWaiters();
     bool silentFor(Duration) const;
     size_t streamCount();
     void handle(const Pong&);
@@ -144,6 +147,8 @@
     std::mutex m_writeLock;
     std::optional<Session> m_session;
     std::string m_pending;
+    // Bodies that wait for room in it.
+    std::vector<std::shared_ptr<Waiter>> m_roomWaiters;
     bool m_isWriting { false };
     // What the socket is being given, on the strand only.
     std::string m_writing;
--- a/src/peer/Streams.cpp
+++ b/src/peer/Streams.cpp
@@ -43,9 +43,20 @@
         if (!added)
             co_return false;
     }
+    const bool hasRoom = co_await awaitRoom();
+    if (!hasRoom || hasStopped())
+        co_return false;
     co_return send(std::move(chunk));
 }
 
+bool QueuedStream::hasStopped()
+{
+    std::lock_guard guard(m_lock);
+    return m_closed || m_bodyStopped;
+}
+
+Task<bool> QueuedStream::awaitRoom() { co_return true; }
+
 void QueuedStream::stopBody()
 {
     {
--- a/src/peer/Streams.h
+++ b/src/peer/Streams.h
@@ -29,6 +29,9 @@
     bool noteSilence();
 
 private:
+    /// Waits until what carries the stream takes a further piece of a body; false once it is gone.
+    virtual Task<bool> awaitRoom();
+    bool hasStopped();
     void addCredit(uint64_t bytes);
 
     Mailbox<StreamMessage> m_arrivals;
