Wake bodies that wait for room when their stream ends

A piece of a body that waits for room on a connection was not woken when its stream was stopped or closed, so that on a silent connection the end of its request waited for the connection to be lost. Found by reading; no test shows it. PeerTests passes.

--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -56,7 +56,18 @@
         const Hello& peer() const override { return m_connection->peer(); }
 
     private:
-        Task<bool> awaitRoom() override { return m_connection->awaitRoom(); }
+        Task<bool> awaitRoom() override
+        {
+            const auto self = shared_from_this();
+            while (true) {
+                const auto waiter = m_connection->waitForRoom();
+                if (!waiter || hasStopped())
+                    co_return !hasStopped();
+                co_await waiter->wait();
+            }
+        }
+
+        void wakeForRoom() override { m_connection->wakeForRoom(); }
 
         std::shared_ptr<Connection> m_connection;
         uint64_t m_number;
@@ -300,7 +311,7 @@
     for (const auto& [number, stream] : streams)
         stream->lose();
     wake(std::move(waiters));
-    wake(takeRoomWaiters());
+    wakeForRoom();
     m_watchTimer.cancel();
     ErrorCode ignored;
     m_socket.close(ignored);
@@ -607,26 +618,22 @@
     return true;
 }
 
-Task<bool> Connection::awaitRoom()
+std::shared_ptr<Event> Connection::waitForRoom()
 {
-    const auto self = shared_from_this();
-    while (true) {
-        std::shared_ptr<Waiter> waiter;
-        {
-            std::lock_guard guard(m_writeLock);
-            if (!isOpen() || m_pending.size() < mostUnwrittenBytes)
-                co_return isOpen();
-            waiter = std::make_shared<Waiter>();
-            m_roomWaiters.push_back(waiter);
-        }
-        co_await waiter->wait();
-    }
+    std::lock_guard guard(m_writeLock);
+    if (!isOpen() || m_pending.size() < mostUnwrittenBytes)
+        return nullptr;
+    return m_roomWaiters.emplace_back(std::make_shared<Waiter>());
 }
 
-std::vector<std::shared_ptr<Connection::Waiter>> Connection::takeRoomWaiters()
+void Connection::wakeForRoom()
 {
-    std::lock_guard guard(m_writeLock);
-    return std::exchange(m_roomWaiters, {});
+    std::vector<std::shared_ptr<Waiter>> waiters;
+    {
+        std::lock_guard guard(m_writeLock);
+        waiters = std::exchange(m_roomWaiters, {});
+    }
+    wake(std::move(waiters));
 }
 
 bool Connection::hasUnsent()
@@ -647,7 +654,7 @@
             return;
         }
     }
-    wake(takeRoomWaiters());
+    wakeForRoom();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
         boost::asio::bind_executor(m_strand, [self = shared_from_this()](const ErrorCode& error, size_t) {
             if (error)
--- a/src/peer/Streams.cpp
+++ b/src/peer/Streams.cpp
@@ -44,9 +44,7 @@
             co_return false;
     }
     const bool hasRoom = co_await awaitRoom();
-    if (!hasRoom || hasStopped())
-        co_return false;
-    co_return send(std::move(chunk));
+    co_return hasRoom&& send(std::move(chunk));
 }
 
 bool QueuedStream::hasStopped()
@@ -64,6 +62,7 @@
         m_bodyStopped = true;
     }
     m_creditAdded.close();
+    wakeForRoom();
 }
 
 void QueuedStream::grantCredit(size_t bytes)
@@ -119,6 +118,7 @@
     }
     m_arrivals.close();
     m_creditAdded.close();
+    wakeForRoom();
 }
 
 void QueuedStream::close() { lose(); }
--- a/src/peer/Streams.h
+++ b/src/peer/Streams.h
@@ -28,10 +28,14 @@
     /// The connection is silent. False if the stream does not wait through that.
     bool noteSilence();
 
+protected:
+    bool hasStopped();
+
 private:
-    /// Waits until what carries the stream takes a further piece of a body; false once it is gone.
+    /// Waits until what carries the stream takes a further piece of a body; false once the stream has been stopped.
     virtual Task<bool> awaitRoom();
-    bool hasStopped();
+    /// Wakes whoever waits for room although none has come, since the stream may have been stopped.
+    virtual void wakeForRoom() { }
     void addCredit(uint64_t bytes);
 
     Mailbox<StreamMessage> m_arrivals;
