--- a/src/witness/Witness.cpp
+++ b/src/witness/Witness.cpp
@@ -32,21 +32,24 @@
     // A few members drawn at random, not all of one availability zone where there are several.
     std::vector<Endpoint> drawWitnesses()
     {
-        using Candidate = std::pair<Endpoint, ZoneName>;
+        struct Candidate {
+            Endpoint endpoint;
+            ZoneName zone;
+        };
         const auto self = board.self().id();
         std::vector<Candidate> members;
         board.members().forEach([&](NodeId id, const MemberRecord& record) {
             if (id != self && record.said.state == MemberState::Alive)
-                members.emplace_back(record.said.endpoint, record.said.zone);
+                members.push_back({ record.said.endpoint, record.said.zone });
         });
         std::vector<Endpoint> drawn;
         while (drawn.size() < settings.witnesses && !members.empty()) {
-            const auto [endpoint, zone] = members[random.below(members.size())];
-            drawn.push_back(endpoint);
+            const auto chosen = members[random.below(members.size())];
+            drawn.push_back(chosen.endpoint);
             const bool hasOtherZone
-                = std::ranges::any_of(members, [&](const Candidate& member) { return member.second != zone; });
+                = std::ranges::any_of(members, [&](const Candidate& member) { return member.zone != chosen.zone; });
             std::erase_if(members, [&](const Candidate& member) {
-                return member.first == endpoint || (hasOtherZone && member.second == zone);
+                return member.endpoint == chosen.endpoint || (hasOtherZone && member.zone == chosen.zone);
             });
         }
         return drawn;
