Wake only the stream that ends

Each stream that ended woke all bodies that waited for room on its connection: with 1,500 of them, as many wakes for each. Found by reading; no test shows it. PeerTests passes.

--- a/src/peer/Connection.cpp
+++ b/src/peer/Connection.cpp
@@ -61,16 +61,30 @@
             const auto self = shared_from_this();
             while (true) {
                 const auto waiter = m_connection->waitForRoom();
+                noteRoomWaiter(waiter);
                 if (!waiter || hasStopped())
                     co_return !hasStopped();
                 co_await waiter->wait();
             }
         }
 
-        void wakeForRoom() override { m_connection->wakeForRoom(); }
+        void wakeForRoom() override
+        {
+            std::lock_guard guard(m_waiterLock);
+            if (m_roomWaiter)
+                m_roomWaiter->set();
+        }
+
+        void noteRoomWaiter(std::shared_ptr<Event> waiter)
+        {
+            std::lock_guard guard(m_waiterLock);
+            m_roomWaiter = std::move(waiter);
+        }
 
         std::shared_ptr<Connection> m_connection;
         uint64_t m_number;
+        std::mutex m_waiterLock;
+        std::shared_ptr<Event> m_roomWaiter;
     };
 
 } // namespace
--- a/src/peer/Connection.h
+++ b/src/peer/Connection.h
@@ -60,10 +60,8 @@
     bool lost() const { return m_state.load() == State::Lost; }
     /// Whether messages wait to be written.
     bool hasUnsent();
-    /// Set once pieces of bodies may be added again, or the connection is lost, or somebody stops waiting; null when
-    /// nothing has to be waited for.
+    /// Set once pieces of bodies may be added again, or the connection is lost; null when nothing has to be waited for.
     std::shared_ptr<Event> waitForRoom();
-    void wakeForRoom();
     /// Only once the connection has been ready.
     const Hello& peer() const { return m_session->peer(); }
     /// Whether this connection leads to an earlier process at the other's endpoint, or to a machine that had the
@@ -110,6 +108,7 @@
     void becomeLost(std::string_view why);
     void reportLost(std::string_view why) const;
     void wake(std::vector<std::shared_ptr<Waiter>>);
+    void wakeForRoom();
     bool silentFor(Duration) const;
     size_t streamCount();
     void handle(const Pong&);
--- a/src/peer/Streams.cpp
+++ b/src/peer/Streams.cpp
@@ -44,7 +44,9 @@
             co_return false;
     }
     const bool hasRoom = co_await awaitRoom();
-    co_return hasRoom&& send(std::move(chunk));
+    if (!hasRoom)
+        co_return false;
+    co_return send(std::move(chunk));
 }
 
 bool QueuedStream::hasStopped()
