--- a/src/witness/Witness.h
+++ b/src/witness/Witness.h
@@ -13,7 +13,8 @@
     /// Members that a departure is offered to at once, and the pause before others are asked if none has answered.
     size_t witnesses { 2 };
     Duration offerPause { milliseconds(100) };
-    /// How long after it was noted a departure is offered.
+    /// How long after it was noted a departure is offered. No shorter than DirectorySettings::lateNewsTerm, within
+    /// which a departure is acknowledged only if it is kept.
     Duration offerTerm { seconds(30) };
     /// How long departures are kept for another node, and the pause between two reminders of its next process.
     Duration keepTerm { std::chrono::minutes(10) };
